Answer requests that come before the first configuration

Cause: the answer's head took the idle timeout from a routing table that was not there yet; the process ended with code 139. Ruled out: a write that outlives its connection (its stream is shared with it now all the same).

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -353,7 +353,7 @@
     AnswerFraming framing;
     framing.length = body.size();
     framing.isClosing = !isKeepAlive();
-    framing.idleTimeout = m_routing->document().callerBounds.idleTimeout;
+    framing.idleTimeout = idleTimeout();
     co_return co_await m_caller.write(formatAnswerHead(own, framing) + body, std::max(m_deadline, monotonicNow() + Duration(1000)));
 }
 
@@ -384,7 +384,7 @@
             AnswerFraming framing;
             framing.framing = BodyFraming::Chunked;
             framing.isClosing = !isKeepAlive();
-            framing.idleTimeout = m_routing->document().callerBounds.idleTimeout;
+            framing.idleTimeout = idleTimeout();
             text = formatAnswerHead({ head.status, head.reason, messageFields(head.fields) }, framing);
         }
         if (!ready->empty())
@@ -468,6 +468,8 @@
 
 bool RequestTask::isKeepAlive() const { return m_request.keep_alive() && !m_context.isDraining; }
 
+Duration RequestTask::idleTimeout() const { return m_routing ? m_routing->document().callerBounds.idleTimeout : CallerBounds {}.idleTimeout; }
+
 nlohmann::json RequestTask::describe() const
 {
     nlohmann::json fields { { "request", m_head.requestId }, { "ageMs", std::lround(toMs(monotonicNow() - m_arrived)) },
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -70,6 +70,7 @@
     void onCallerLeft();
     Duration left() const;
     bool isKeepAlive() const;
+    Duration idleTimeout() const;
     void logDispatch(const Dispatch&, Outcome) const;
     nlohmann::json describe() const;
 
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -83,7 +83,7 @@
     void startParser();
     void noteIdleTimeout(const AnswerHead&);
 
-    TcpStream m_stream;
+    std::shared_ptr<TcpStream> m_stream; /**< Shared with a write that may outlive this object. */
     asio::ip::tcp::endpoint m_endpoint;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 UpstreamConnection::UpstreamConnection(Executor executor, asio::ip::tcp::endpoint endpoint)
-    : m_stream(executor)
+    : m_stream(std::make_shared<TcpStream>(executor))
     , m_endpoint(std::move(endpoint))
     , m_buffer(maxHeadBytes + readBlock)
 {
@@ -44,11 +44,11 @@
     Executor executor, asio::ip::tcp::endpoint endpoint, TimePoint deadline)
 {
     std::unique_ptr<UpstreamConnection> connection(new UpstreamConnection(executor, endpoint));
-    connection->m_stream.expires_at(deadline);
-    const auto [error] = co_await connection->m_stream.async_connect(endpoint, awaitResult);
+    connection->m_stream->expires_at(deadline);
+    const auto [error] = co_await connection->m_stream->async_connect(endpoint, awaitResult);
     if (error)
         co_return tl::unexpected(connection->failure(error));
-    configureSocket(connection->m_stream.socket());
+    configureSocket(connection->m_stream->socket());
     co_return connection;
 }
 
@@ -67,7 +67,7 @@
     m_write->request = std::move(request);
     const auto& pending = m_write->request;
     const std::array buffers { asio::buffer(pending.head), asio::buffer(*pending.body) };
-    asio::async_write(m_stream, buffers, [write = m_write](const boost::system::error_code& error, std::size_t) {
+    asio::async_write(*m_stream, buffers, [write = m_write, stream = m_stream](const boost::system::error_code& error, std::size_t) {
         write->isDone = true;
         write->isFailed = static_cast<bool>(error);
     });
@@ -85,7 +85,7 @@
 {
     m_isHeadMethod = request.isHeadMethod;
     m_isComplete = false;
-    m_stream.expires_at(deadline);
+    m_stream->expires_at(deadline);
     startWrite(std::move(request));
     co_return co_await readHead(deadline);
 }
@@ -95,8 +95,8 @@
     m_isComplete = false;
     for (;;) {
         startParser();
-        m_stream.expires_at(deadline);
-        const auto [error, size] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitResult);
+        m_stream->expires_at(deadline);
+        const auto [error, size] = co_await http::async_read_header(*m_stream, m_buffer, *m_parser, awaitResult);
         if (error)
             co_return tl::unexpected(failure(error));
         const auto& message = m_parser->get();
@@ -118,12 +118,12 @@
 Task<Result<bool>> UpstreamConnection::readSome(std::string& body, TimePoint deadline)
 {
     std::array<char, readBlock> block; // NOLINT: filled by the read.
-    m_stream.expires_at(deadline);
+    m_stream->expires_at(deadline);
     while (!m_parser->is_done()) {
         m_parser->get().body().data = block.data();
         m_parser->get().body().size = block.size();
         m_parser->get().body().more = true;
-        auto [error, size] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, awaitResult);
+        auto [error, size] = co_await http::async_read_some(*m_stream, m_buffer, *m_parser, awaitResult);
         const auto filled = block.size() - m_parser->get().body().size;
         body.append(block.data(), filled);
         if (error && error != http::error::need_buffer)
@@ -153,7 +153,7 @@
 void UpstreamConnection::abort()
 {
     m_isAborted = true;
-    m_stream.close();
+    m_stream->close();
 }
 
 bool UpstreamConnection::isReusable() const
@@ -166,10 +166,10 @@
 {
     char byte = 0;
     boost::system::error_code error;
-    m_stream.socket().native_non_blocking(true, error);
+    m_stream->socket().native_non_blocking(true, error);
     if (error)
         return false;
-    const auto count = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto count = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
