--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include <gateway/DecisionLog.h>
 #include <gateway/PlaceDesk.h>
+#include <gateway/QuotaAccount.h>
 #include <gateway/RetryBudget.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/UpstreamDirectory.h>
@@ -16,6 +17,7 @@
 /** Bounds of the request path that deployments set. */
 struct GatewayBounds {
     RetryAllowance retries;
+    QuotaBounds quotas;
     Duration drainTime { 2500 }; /**< From the stop signal until no connection is taken any more. */
     Duration stopTime { 7000 }; /**< From the stop signal until what still runs is given up. */
 
@@ -36,7 +38,8 @@
     UpstreamDirectory directory;
     std::map<std::string, RetryBudget> retryBudgets;
     std::function<int()> nodes; /**< How many nodes share the upstreams. */
-    std::function<bool(const GatewayOrganisation&, int tokens)> takeQuota; /**< @return false when the quota is used up. */
+    /** @return nothing when the tokens were taken, else why not. */
+    std::function<std::optional<QuotaRefusal>(const GatewayOrganisation&, int tokens)> takeQuota;
     bool isDraining = false;
     int activeRequests = 0;
 
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -85,7 +85,7 @@
     Task<void> keepHouse();
     Task<void> fetchState();
     NodeReport makeReport(bool withPeers);
-    bool takeQuota(const GatewayOrganisation&, int tokens);
+    std::optional<QuotaRefusal> takeQuota(const GatewayOrganisation&, int tokens);
     void run(const char* name, Task<void>);
 
     GatewayOptions m_options;
--- a/libs/gateway/include/gateway/QuotaAccount.h
+++ b/libs/gateway/include/gateway/QuotaAccount.h
@@ -3,37 +3,66 @@
 #include <gateway/RoutingTable.h>
 
 #include <cstdint>
+#include <deque>
 
 namespace bronzeswitch {
 
+/** How a quota is held: over which time, and how much more than it may pass in that time. */
+struct QuotaBounds {
+    Duration window { 8000 };
+    double overshoot = 0; /**< Part of the allowance that may pass on top. */
+    double slack = 0; /**< Tokens that may pass on top of that. */
+
+    bool operator==(const QuotaBounds&) const = default;
+};
+
+/** Why a request does not fit into a quota, and when it may. */
+struct QuotaRefusal {
+    Duration wait { 0 };
+    int64_t used = 0; /**< Tokens in the window, by all nodes as far as known. */
+    int64_t allowed = 0; /**< Tokens that the window may hold. */
+
+    bool operator==(const QuotaRefusal&) const = default;
+};
+
 /**
  * One node's view of what an organisation may still use, over all nodes.
  *
- * Answers an organisation that sends many times its usual: every node keeps the same bucket, takes out at once what it
- * admits itself and later what its peers tell. What is admitted too much in between is owed and paid back. A node that is
- * silent may go on admitting its part, so that part is left to it for a while.
+ * Answers an organisation that sends many times its usual: every node keeps the same sliding window, counts at once what it
+ * admits itself and later what its peers tell. A node that is silent may go on admitting its part, so that part is left to
+ * it. Requests of one organisation come in clumps, which the window lets pass as long as its whole allowance lasts. Half of
+ * what may pass on top is used, the other half is for what peers have admitted and not yet told.
  */
 class QuotaAccount {
 public:
-    explicit QuotaAccount(TimePoint now);
+    explicit QuotaAccount(QuotaBounds);
 
     /**
      * Takes tokens for one request.
      * @param peerTokens that peers have admitted in all.
-     * @param silentShare part of the rate that may be in use where it can't be seen, 0 to 1.
+     * @param silentShare part of the allowance that may be in use where it can't be seen, 0 to 1.
      * @return false if the quota is used up; nothing is taken then.
      */
     bool take(const TokenQuota&, int tokens, int64_t peerTokens, double silentShare, TimePoint now);
 
+    /** @return why a request of that size does not fit now. */
+    QuotaRefusal refusal(const TokenQuota&, int tokens, double silentShare, TimePoint now) const;
+
     /** @return tokens admitted by this node. */
     int64_t ownTokens() const { return m_ownTokens; }
 
 private:
-    void refill(const TokenQuota&, double silentShare, TimePoint now);
+    struct Use {
+        TimePoint time;
+        int64_t tokens = 0;
+    };
+
+    void note(int64_t tokens, TimePoint now);
+    double allowance(const TokenQuota&, double silentShare) const;
 
-    double m_level = 0;
-    bool m_isStarted = false;
-    TimePoint m_refilled;
+    QuotaBounds m_bounds;
+    std::deque<Use> m_uses;
+    int64_t m_used = 0; /**< In the window. */
     int64_t m_peerTokens = 0;
     int64_t m_ownTokens = 0;
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -270,13 +270,15 @@
     }
 }
 
-bool GatewayNode::takeQuota(const GatewayOrganisation& organisation, int tokens)
+std::optional<QuotaRefusal> GatewayNode::takeQuota(const GatewayOrganisation& organisation, int tokens)
 {
     const auto now = monotonicNow();
-    auto& account = m_quotas.try_emplace(organisation.name, now).first->second;
+    auto& account = m_quotas.try_emplace(organisation.name, m_options.bounds.quotas).first->second;
     const double known = m_peers.knownNodes();
     const double silent = (known - m_peers.nodes()) / known;
-    return account.take(organisation.quota, tokens, m_peers.usage(organisation.name), silent, now);
+    if (account.take(organisation.quota, tokens, m_peers.usage(organisation.name), silent, now))
+        return std::nullopt;
+    return account.refusal(organisation.quota, tokens, silent, now);
 }
 
 Task<void> GatewayNode::drain()
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -3,32 +3,60 @@
 
 namespace bronzeswitch {
 
-QuotaAccount::QuotaAccount(TimePoint now)
-    : m_refilled(now)
+namespace {
+
+constexpr double usedTolerance = 0.5;
+
+} // namespace
+
+QuotaAccount::QuotaAccount(QuotaBounds bounds)
+    : m_bounds(bounds)
 {
 }
 
-void QuotaAccount::refill(const TokenQuota& quota, double silentShare, TimePoint now)
+void QuotaAccount::note(int64_t tokens, TimePoint now)
 {
-    const double rate = quota.ratePerSecond * (1 - std::clamp(silentShare, 0.0, 1.0));
-    if (!m_isStarted)
-        m_level = quota.burst;
-    m_isStarted = true;
-    m_level = std::min(quota.burst, m_level + rate * toSeconds(now - m_refilled));
-    m_refilled = now;
+    while (!m_uses.empty() && m_uses.front().time <= now - m_bounds.window) {
+        m_used -= m_uses.front().tokens;
+        m_uses.pop_front();
+    }
+    if (tokens <= 0)
+        return;
+    m_used += tokens;
+    m_uses.push_back({ now, tokens });
+}
+
+double QuotaAccount::allowance(const TokenQuota& quota, double silentShare) const
+{
+    const double nominal = quota.ratePerSecond * toSeconds(m_bounds.window) + quota.burst;
+    const double tolerated = nominal * m_bounds.overshoot + m_bounds.slack;
+    return (nominal + usedTolerance * tolerated) * (1 - std::clamp(silentShare, 0.0, 1.0));
 }
 
 bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, double silentShare, TimePoint now)
 {
-    refill(quota, silentShare, now);
-    m_level -= static_cast<double>(peerTokens - m_peerTokens);
+    note(peerTokens - m_peerTokens, now);
     m_peerTokens = peerTokens;
-    // A request larger than the whole burst would never fit, so it may take what a full bucket holds.
-    if (m_level < std::min<double>(tokens, quota.burst))
+    if (static_cast<double>(m_used + tokens) > allowance(quota, silentShare))
         return false;
-    m_level -= tokens;
+    note(tokens, now);
     m_ownTokens += tokens;
     return true;
 }
 
+QuotaRefusal QuotaAccount::refusal(const TokenQuota& quota, int tokens, double silentShare, TimePoint now) const
+{
+    const double allowed = allowance(quota, silentShare);
+    QuotaRefusal result { m_bounds.window, m_used, static_cast<int64_t>(allowed) };
+    double excess = static_cast<double>(m_used + tokens) - allowed;
+    for (const auto& use : m_uses) {
+        excess -= static_cast<double>(use.tokens);
+        if (excess > 0)
+            continue;
+        result.wait = std::chrono::duration_cast<Duration>(use.time + m_bounds.window - now);
+        break;
+    }
+    return result;
+}
+
 } // namespace bronzeswitch
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t maxExcluded = 4; // Upstreams that could not be reached, for one request.
 constexpr int maxStrayAnswers = 2; // Answers to earlier requests that are skipped on a connection.
 constexpr Duration configurationWait { 500 };
-constexpr Duration quotaWait { 1000 };
 constexpr Duration leastRetryAfter { 100 };
 constexpr double millisecondsPerSecond = 1000;
 
@@ -134,8 +133,10 @@
         return Problem { unauthorized, "unknown-key", Execution::NotRun, "the key is not known", std::nullopt };
     const int tokens
         = m_head.promptTokens ? *m_head.promptTokens + m_head.outputTokens : m_organisation->quota.plainRequestTokens;
-    if (m_organisation->quota.isLimited() && !m_context.takeQuota(*m_organisation, tokens))
-        return Problem { httpstatus::tooManyRequests, "quota", Execution::NotRun, "the organisation's quota is used up", quotaWait };
+    m_quotaRefusal = m_organisation->quota.isLimited() ? m_context.takeQuota(*m_organisation, tokens) : std::nullopt;
+    if (m_quotaRefusal)
+        return Problem { httpstatus::tooManyRequests, "quota", Execution::NotRun, "the organisation's quota is used up",
+            std::max(m_quotaRefusal->wait, leastRetryAfter) };
     return std::nullopt;
 }
 
@@ -480,6 +481,10 @@
     }
     if (m_organisation)
         fields["organisation"] = m_organisation->name;
+    if (m_quotaRefusal) {
+        fields["quotaUsed"] = m_quotaRefusal->used;
+        fields["quotaAllowed"] = m_quotaRefusal->allowed;
+    }
     return fields;
 }
 
