--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -2,6 +2,7 @@
 
 #include <base/TimerService.h>
 #include <protocol/Messages.h>
+#include <sched/PoolScheduler.h>
 
 #include <map>
 #include <optional>
@@ -43,8 +44,8 @@
     /** @return addresses of live peers. */
     std::vector<std::string> live() const;
 
-    /** @return requests that live peers run, by upstream. */
-    std::map<std::string, int> loads() const;
+    /** @return what live peers run, by upstream. */
+    std::map<std::string, PeerLoad> loads(TimePoint now) const;
 
     /** @return how many nodes there are with this one, counting those heard lately. */
     int nodes() const { return static_cast<int>(live().size()) + 1; }
--- a/libs/gateway/include/gateway/PlaceDesk.h
+++ b/libs/gateway/include/gateway/PlaceDesk.h
@@ -43,10 +43,10 @@
     /** Takes what an upstream said of its load just now. */
     void report(const std::string& service, const std::string& upstream, const LoadReport&);
 
-    /** Takes what the peers run. @param loads requests by upstream, over all peers. */
-    void setPeerLoads(const std::map<std::string, int>& loads);
+    /** Takes what the peers run, by upstream. */
+    void setPeerLoads(const std::map<std::string, PeerLoad>& loads);
 
-    /** @return what this node runs. */
+    /** @return what this node runs and has learned. */
     std::vector<UpstreamLoad> loads() const;
 
     /** Drops asks that can't be served in time and grants what has become possible. */
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -169,7 +169,7 @@
         return;
     if (m_peers.onReport(text(from), *report, monotonicNow()))
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.nodes() } });
-    m_places.setPeerLoads(m_peers.loads());
+    m_places.setPeerLoads(m_peers.loads(monotonicNow()));
 }
 
 NodeReport GatewayNode::makeReport(bool withPeers)
@@ -231,7 +231,7 @@
         for (const auto& address : lost)
             m_log.write(events::membersChanged, { { "lost", address }, { "members", m_peers.nodes() } });
         if (!lost.empty())
-            m_places.setPeerLoads(m_peers.loads());
+            m_places.setPeerLoads(m_peers.loads(monotonicNow()));
         changeDirectory([&](UpstreamDirectory& directory) { return directory.expire(now); });
         m_places.tick();
         m_writer.flush();
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -3,6 +3,12 @@
 
 namespace bronzeswitch {
 
+namespace {
+
+constexpr double millisecondsPerSecond = 1000;
+
+} // namespace
+
 PeerView::PeerView(std::string ownAddress, PeerBounds bounds)
     : m_ownAddress(std::move(ownAddress))
     , m_bounds(bounds)
@@ -95,15 +101,24 @@
     return result;
 }
 
-std::map<std::string, int> PeerView::loads() const
+std::map<std::string, PeerLoad> PeerView::loads(TimePoint now) const
 {
-    std::map<std::string, int> result;
+    std::map<std::string, PeerLoad> result;
+    std::map<std::string, int> teachers;
     for (const auto& [address, peer] : m_peers) {
         if (!peer.isLive)
             continue;
-        for (const auto& load : peer.report.loads)
-            result[load.upstream] += load.running;
+        const double age = toSeconds(now - peer.heard);
+        for (const auto& load : peer.report.loads) {
+            auto& sum = result[load.upstream];
+            sum.running += load.running;
+            sum.backlogSeconds += std::max(0.0, load.backlogMs / millisecondsPerSecond - age);
+            sum.betweenTokensMs += load.betweenTokensUs / millisecondsPerSecond;
+            teachers[load.upstream] += load.betweenTokensUs > 0 ? 1 : 0;
+        }
     }
+    for (auto& [upstream, sum] : result)
+        sum.betweenTokensMs /= std::max(1, teachers[upstream]);
     return result;
 }
 
--- a/libs/gateway/src/PlaceDesk.cpp
+++ b/libs/gateway/src/PlaceDesk.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr const char* stableVersion = "stable";
+constexpr double millisecondsPerSecond = 1000;
+constexpr NominalSpeed engineSpeed { 55000, 3.6 };
 constexpr int plainServiceSlots = 6; // Used when neither the service nor its upstream tells a number.
 
 Upstream makeUpstream(const UpstreamEntry& entry, const GatewayService& service)
@@ -30,6 +32,7 @@
 {
     PoolPlan plan;
     plan.dataCentre = dataCentre;
+    plan.nominalSpeed = engineSpeed;
     for (const auto& [id, entry] : directory.entries()) {
         if (entry.service == service.name)
             plan.upstreams.push_back(makeUpstream(entry, service));
@@ -115,7 +118,7 @@
         pool->report(upstream, report, monotonicNow());
 }
 
-void PlaceDesk::setPeerLoads(const std::map<std::string, int>& loads)
+void PlaceDesk::setPeerLoads(const std::map<std::string, PeerLoad>& loads)
 {
     for (auto& [service, pool] : m_pools)
         carryOut(pool.setPeerLoads(loads, monotonicNow()));
@@ -125,8 +128,9 @@
 {
     std::vector<UpstreamLoad> result;
     for (const auto& [service, pool] : m_pools) {
-        for (const auto& [upstream, running] : pool.running())
-            result.push_back({ upstream, running });
+        for (const auto& [upstream, load] : pool.ownLoads(monotonicNow()))
+            result.push_back({ upstream, load.running, static_cast<int>(load.backlogSeconds * millisecondsPerSecond),
+                static_cast<int>(load.betweenTokensMs * millisecondsPerSecond) });
     }
     return result;
 }
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -168,6 +168,7 @@
     ask.rank = m_organisation && m_organisation->rank ? *m_organisation->rank : m_route->rank;
     ask.promptTokens = m_head.promptTokens.value_or(0);
     ask.outputTokens = m_head.expectedTokens.value_or(m_head.outputTokens);
+    ask.targetMs = m_route->kind == RequestKind::Stream ? m_route->targetLatency.count() : 0;
     ask.prefixes = m_head.prefixes;
     ask.excluded = m_excluded;
     return ask;
@@ -475,6 +476,12 @@
 {
     nlohmann::json fields { { "request", m_head.requestId }, { "ageMs", std::lround(toMs(monotonicNow() - m_arrived)) },
         { "attempts", m_attempts }, { "routing", m_routing ? m_routing->version() : 0 } };
+    if (m_head.promptTokens) {
+        fields["promptTokens"] = *m_head.promptTokens;
+        fields["outputTokens"] = m_head.outputTokens;
+        if (m_head.expectedTokens)
+            fields["expectedTokens"] = *m_head.expectedTokens;
+    }
     if (m_route) {
         fields["route"] = m_route->name;
         fields["kind"] = nameOf(m_route->kind);
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -70,6 +70,7 @@
     std::vector<PrefixMark> prefixes; /**< Growing prefixes of the prompt, shortest first. */
     std::vector<std::string> excluded; /**< Upstreams that could not be reached. */
     bool isForced = false; /**< Asks a node that does not believe to be the home, after it has refused repeatedly. */
+    int64_t targetMs = 0; /**< Time in which the first token is wanted, 0 for none. */
 
     bool operator==(const PlaceAsk&) const = default;
 };
@@ -193,6 +194,8 @@
 struct UpstreamLoad {
     std::string upstream;
     int running = 0;
+    int backlogMs = 0; /**< Until the prompts that the node has sent there have been read. */
+    int betweenTokensUs = 0; /**< As the node has learned it, 0 if it has not. */
 
     bool operator==(const UpstreamLoad&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -24,7 +24,7 @@
         return std::tie(message.state);
     else if constexpr (std::is_same_v<Type, PlaceAsk>)
         return std::tie(message.id, message.pool, message.route, message.organisation, message.rank, message.promptTokens,
-            message.outputTokens, message.deadlineMs, message.prefixes, message.excluded, message.isForced);
+            message.outputTokens, message.deadlineMs, message.prefixes, message.excluded, message.isForced, message.targetMs);
     else if constexpr (std::is_same_v<Type, PlaceGrant>)
         return std::tie(message.id, message.upstream, message.version, message.rollout);
     else if constexpr (std::is_same_v<Type, PlaceRefuse>)
@@ -36,12 +36,12 @@
             message.id, message.outcome, message.firstTokenMs, message.betweenTokensUs, message.outputTokens, message.cachedTokens);
     else if constexpr (std::is_same_v<Type, PlaceHeld>)
         return std::tie(message.ask.id, message.ask.pool, message.ask.route, message.ask.organisation, message.ask.rank,
-            message.ask.promptTokens, message.ask.outputTokens, message.ask.deadlineMs, message.ask.prefixes, message.upstream,
+            message.ask.promptTokens, message.ask.outputTokens, message.ask.deadlineMs, message.ask.prefixes, message.ask.targetMs, message.upstream,
             message.version, message.rollout);
     else if constexpr (std::is_same_v<Type, PrefixMark>)
         return std::tie(message.hash, message.tokens);
     else if constexpr (std::is_same_v<Type, UpstreamLoad>)
-        return std::tie(message.upstream, message.running);
+        return std::tie(message.upstream, message.running, message.backlogMs, message.betweenTokensUs);
     else if constexpr (std::is_same_v<Type, OrganisationUsage>)
         return std::tie(message.organisation, message.tokens);
     else if constexpr (std::is_same_v<Type, NodeReport>)
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -3,7 +3,8 @@
 #include <config/Configuration.h>
 #include <sched/AdmissionLimit.h>
 #include <sched/PrefixHistory.h>
-#include <sched/WaitingQueue.h>
+#include <sched/SpeedEstimate.h>
+#include <sched/WaitingRoom.h>
 
 #include <limits>
 #include <map>
@@ -32,6 +33,7 @@
     std::vector<VersionPlan> versions;
     std::vector<Organisation> organisations;
     Limits limits;
+    NominalSpeed nominalSpeed;
     std::string dataCentre; /**< Where the requests come from; upstreams there are preferred. Empty for no preference. */
 
     bool operator==(const PoolPlan&) const = default;
@@ -70,6 +72,15 @@
     bool operator==(const LoadReport&) const = default;
 };
 
+/** What other schedulers of the same upstream run there. */
+struct PeerLoad {
+    int running = 0;
+    double backlogSeconds = 0; /**< Until their prompts have been read. */
+    double betweenTokensMs = 0; /**< As they have learned it, 0 if they have not. */
+
+    bool operator==(const PeerLoad&) const = default;
+};
+
 /** Counters and state of one upstream for operators. */
 struct UpstreamSummary {
     std::string name;
@@ -119,8 +130,8 @@
     void report(const std::string& upstream, const LoadReport&, TimePoint now);
     void cacheEvent(const std::string& upstream, int64_t sequence, bool isStored, uint64_t prefix);
 
-    /** Takes what other schedulers of the same upstreams run there. @param loads requests by upstream. */
-    PlaceDecisions setPeerLoads(const std::map<std::string, int>& loads, TimePoint now);
+    /** Takes what other schedulers of the same upstreams run there, by upstream. */
+    PlaceDecisions setPeerLoads(const std::map<std::string, PeerLoad>& loads, TimePoint now);
 
     /** Closes an upstream to new work for a while, or opens it again. */
     void setClosed(const std::string& upstream, bool isClosed);
@@ -141,8 +152,8 @@
     std::size_t inFlight() const { return m_places.size(); }
     int inFlight(const std::string& upstream) const;
 
-    /** @return the requests in flight by upstream, without idle upstreams. */
-    std::map<std::string, int> running() const;
+    /** @return what this scheduler runs and has learned, for the others. */
+    std::map<std::string, PeerLoad> ownLoads(TimePoint now) const;
     std::vector<UpstreamSummary> summaries(TimePoint now) const;
     const PoolPlan& plan() const { return m_plan; }
 
@@ -151,28 +162,29 @@
 
 private:
     struct UpstreamState {
-        explicit UpstreamState(const Upstream& upstream, const Limits& limits)
+        UpstreamState(const Upstream& upstream, const PoolPlan& plan)
             : config(upstream)
             , version(upstream.version)
-            , limit(upstream.slots, { limits.firstTokenTarget, limits.betweenTokensTarget })
+            , limit(upstream.slots, { plan.limits.firstTokenTarget, plan.limits.betweenTokensTarget })
+            , speed(plan.nominalSpeed)
         {
         }
 
         Upstream config;
         std::string version; /**< As reported, else as configured. */
         AdmissionLimit limit;
+        SpeedEstimate speed;
         PrefixHistory prefixes;
         bool isClosed = false;
         int inFlight = 0;
         int foreign = 0; /**< Requests that the upstream reports and this scheduler doesn't know of. */
-        int peers = 0; /**< Requests that other schedulers run there. */
+        PeerLoad peers;
+        TimePoint peersTold {}; /**< When the peers' load was told. */
         TimePoint lastGrant {};
-        double prefillTokensPerSecond = 10000;
-        double betweenTokensMs = 15;
         std::deque<std::pair<TimePoint, int>> inFlightHistory;
 
         /** @return the requests that run there, as far as this scheduler knows. */
-        int load() const { return inFlight + std::max(foreign, peers); }
+        int load() const { return inFlight + std::max(foreign, peers.running); }
     };
 
     struct ShareCount {
@@ -199,11 +211,14 @@
     bool isReserved(int rank, TimePoint now) const;
     void notePeak();
     int topInFlight() const;
+    int uncachedTokens(const UpstreamState&, const PlaceAsk&) const;
+    double firstTokenSeconds(const UpstreamState&, const PlaceAsk&, TimePoint now) const;
     double serviceSeconds(const UpstreamState&, const PlaceAsk&) const;
+    double placeCost(const UpstreamState&, const PlaceAsk&, TimePoint now) const;
     PlaceGrant grant(const Waiter&, const Choice&, TimePoint now);
     void addPlace(Place);
     void freePlace(const Place&);
-    void learn(UpstreamState&, const Place&, const PlaceDone&, TimePoint now);
+    void learn(UpstreamState&, const PlaceDone&, TimePoint now);
     const VersionPlan* versionPlan(const std::string& route) const;
     bool mayUseCandidate(const VersionPlan&);
     void countGrant(const VersionPlan&, bool isCandidate);
@@ -213,7 +228,7 @@
     TimePoint m_settleUntil;
     PoolPlan m_plan;
     std::map<std::string, UpstreamState> m_upstreams;
-    WaitingQueue m_waiting;
+    WaitingRoom m_waiting;
     std::map<PlaceKey, Place> m_places;
     int m_topRank = std::numeric_limits<int>::max(); /**< Highest rank that has asked here. */
     double m_topPeak = 0; /**< Most places that the highest rank held lately; decays. */
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -8,8 +8,9 @@
 
 constexpr double largestReserveShare = 0.125; // Of the pool's places, kept free for the highest rank.
 constexpr double peakDecayPerTick = 0.99;
-constexpr double smoothing = 0.2;
 constexpr double loadSpreadSeconds = 0.2; // Cost of a full upstream against an idle one.
+constexpr double targetUse = 0.8; // Part of the target latency that reading the prompt may take.
+constexpr double lateSeconds = 2; // What a late first token counts against a later end.
 constexpr double otherDataCentreSeconds = 0.004; // Two crossings more, and bytes that cost.
 constexpr Duration placeGrace { 5000 };
 constexpr Duration oldestUsableReport { 10000 };
@@ -19,8 +20,6 @@
 constexpr Duration retryFloor { 200 };
 constexpr Duration retryCeiling { 30000 };
 
-void smooth(double& value, double sample) { value += smoothing * (sample - value); }
-
 } // namespace
 
 PoolScheduler::PoolScheduler(TimePoint settleUntil)
@@ -49,7 +48,7 @@
     std::set<std::string> names;
     for (const auto& upstream : plan.upstreams) {
         names.insert(upstream.name);
-        const auto [entry, isNew] = m_upstreams.try_emplace(upstream.name, upstream, plan.limits);
+        const auto [entry, isNew] = m_upstreams.try_emplace(upstream.name, upstream, plan);
         if (isNew)
             continue;
         // A reporting upstream runs its old version until it reports the new one.
@@ -106,7 +105,7 @@
     double tokensPerSecond = 0;
     for (const auto& [name, state] : m_upstreams) {
         if (!state.config.leaving)
-            tokensPerSecond += state.limit.value(now) * millisecondsPerSecond / state.betweenTokensMs;
+            tokensPerSecond += state.limit.value(now) * millisecondsPerSecond / state.speed.betweenTokensMs();
     }
     if (tokensPerSecond <= 0)
         return retryCeiling;
@@ -135,8 +134,28 @@
 
 double PoolScheduler::serviceSeconds(const UpstreamState& state, const PlaceAsk& ask) const
 {
-    const int uncached = std::max(0, ask.promptTokens - state.prefixes.cachedTokens(ask.prefixes));
-    return uncached / state.prefillTokensPerSecond + ask.outputTokens * state.betweenTokensMs / millisecondsPerSecond;
+    return state.speed.prefillSeconds(uncachedTokens(state, ask)) + state.speed.decodeSeconds(ask.outputTokens);
+}
+
+int PoolScheduler::uncachedTokens(const UpstreamState& state, const PlaceAsk& ask) const
+{
+    return std::max(0, ask.promptTokens - state.prefixes.cachedTokens(ask.prefixes));
+}
+
+// Prompts are read in the order of their dispatch, whoever dispatched them.
+double PoolScheduler::firstTokenSeconds(const UpstreamState& state, const PlaceAsk& ask, TimePoint now) const
+{
+    const double peersBacklog = std::max(0.0, state.peers.backlogSeconds - toSeconds(now - state.peersTold));
+    return state.speed.backlogSeconds(now) + peersBacklog + state.speed.prefillSeconds(uncachedTokens(state, ask));
+}
+
+// The expected time of the whole answer, with a term that keeps one upstream from taking all, and one for a late start.
+double PoolScheduler::placeCost(const UpstreamState& state, const PlaceAsk& ask, TimePoint now) const
+{
+    const double first = firstTokenSeconds(state, ask, now);
+    const bool isLate = ask.targetMs > 0 && first * millisecondsPerSecond > targetUse * ask.targetMs;
+    const double load = loadSpreadSeconds * (state.load() + 1) / std::max(1, state.limit.value(now));
+    return first + state.speed.decodeSeconds(ask.outputTokens) + load + (isLate ? lateSeconds : 0) + (isNear(state) ? 0 : otherDataCentreSeconds);
 }
 
 bool PoolScheduler::isUsable(const UpstreamState& state, const Waiter& waiter, const VersionPlan& plan, const std::string& version) const
@@ -186,8 +205,7 @@
         const double service = serviceSeconds(state, waiter.ask);
         if (service > secondsLeft)
             continue;
-        const double cost = service + loadSpreadSeconds * (state.load() + 1) / std::max(1, state.limit.value(now))
-            + (isNear(state) ? 0 : otherDataCentreSeconds);
+        const double cost = placeCost(state, waiter.ask, now);
         const bool isBetter = cost < bestCost || (cost == bestCost && state.lastGrant < best->lastGrant);
         if (isBetter) {
             bestCost = cost;
@@ -254,6 +272,7 @@
     const auto& plan = *versionPlan(waiter.ask.route);
     countGrant(plan, choice.isCandidate);
     auto& state = *choice.upstream;
+    state.speed.onDispatch(uncachedTokens(state, waiter.ask), now);
     state.prefixes.onDispatch(waiter.ask.prefixes);
     state.lastGrant = now;
     const auto& rollout = plan.candidate.empty() ? std::string() : plan.rollout;
@@ -292,14 +311,14 @@
     const Place place = found->second;
     m_places.erase(found);
     if (const auto state = m_upstreams.find(place.upstream); state != m_upstreams.end())
-        learn(state->second, place, done, now);
+        learn(state->second, done, now);
     freePlace(place);
     if (ended)
         *ended = place;
     return grantWaiting(now);
 }
 
-void PoolScheduler::learn(UpstreamState& state, const Place& place, const PlaceDone& done, TimePoint now)
+void PoolScheduler::learn(UpstreamState& state, const PlaceDone& done, TimePoint now)
 {
     if (done.outcome == DispatchOutcome::Failed || done.outcome == DispatchOutcome::Unreachable) {
         state.limit.onFailure(now);
@@ -308,12 +327,7 @@
     if (done.outcome != DispatchOutcome::Completed)
         return;
     state.limit.onSample(Duration(done.firstTokenMs), std::chrono::microseconds(done.betweenTokensUs), state.inFlight, now);
-    if (done.betweenTokensUs > 0)
-        smooth(state.betweenTokensMs, done.betweenTokensUs / millisecondsPerSecond);
-    constexpr int enoughTokens = 128;
-    const int uncached = place.ask.promptTokens - done.cachedTokens;
-    if (uncached >= enoughTokens && done.firstTokenMs > 0)
-        smooth(state.prefillTokensPerSecond, uncached * millisecondsPerSecond / done.firstTokenMs);
+    state.speed.onAnswer(done.betweenTokensUs / millisecondsPerSecond);
 }
 
 void PoolScheduler::hold(const std::string& node, const PlaceHeld& held, TimePoint now)
@@ -371,21 +385,24 @@
     return found == m_upstreams.end() ? 1 : found->second.prefixes.nextEvent();
 }
 
-PlaceDecisions PoolScheduler::setPeerLoads(const std::map<std::string, int>& loads, TimePoint now)
+PlaceDecisions PoolScheduler::setPeerLoads(const std::map<std::string, PeerLoad>& loads, TimePoint now)
 {
     for (auto& [name, state] : m_upstreams) {
         const auto found = loads.find(name);
-        state.peers = found == loads.end() ? 0 : found->second;
+        state.peers = found == loads.end() ? PeerLoad {} : found->second;
+        state.peersTold = now;
+        state.speed.onSuggestion(state.peers.betweenTokensMs);
     }
     return grantWaiting(now);
 }
 
-std::map<std::string, int> PoolScheduler::running() const
+std::map<std::string, PeerLoad> PoolScheduler::ownLoads(TimePoint now) const
 {
-    std::map<std::string, int> result;
+    std::map<std::string, PeerLoad> result;
     for (const auto& [name, state] : m_upstreams) {
-        if (state.inFlight > 0)
-            result[name] = state.inFlight;
+        const PeerLoad load { state.inFlight, state.speed.backlogSeconds(now), state.speed.learned().value_or(0) };
+        if (load != PeerLoad {})
+            result[name] = load;
     }
     return result;
 }
@@ -432,6 +449,7 @@
         while (state.inFlightHistory.front().first < now - historySpan)
             state.inFlightHistory.pop_front();
     }
+    m_waiting.sort(now);
     auto granted = grantWaiting(now);
     decisions.insert(decisions.end(), granted.begin(), granted.end());
     return decisions;
@@ -455,7 +473,7 @@
 {
     std::vector<UpstreamSummary> result;
     for (const auto& [name, state] : m_upstreams)
-        result.push_back({ name, state.version, state.inFlight, state.limit.value(now), state.betweenTokensMs });
+        result.push_back({ name, state.version, state.inFlight, state.limit.value(now), state.speed.betweenTokensMs() });
     return result;
 }
 
