Give each engine pool a home that orders all asks

Cause: with a queue on each node, nodes kept the places they had, free places were taken by several nodes at once (one returned engine had 3 s without a first event), and order across nodes was lost.

--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -14,10 +14,24 @@
 
 namespace bronzeswitch {
 
+/** How long callers wait for the first event of a stream, or for the next one. */
+struct CallerPatience {
+    Duration least { 2000 };
+    int targetFactor = 4; /**< Of the route's target latency. */
+    int gapFactor = 8; /**< Of the longest pause that is still in time. */
+
+    Duration of(const GatewayRoute& route) const
+    {
+        return std::max({ least, route.targetLatency * targetFactor, route.targetGap * gapFactor });
+    }
+    bool operator==(const CallerPatience&) const = default;
+};
+
 /** Bounds of the request path that deployments set. */
 struct GatewayBounds {
     RetryAllowance retries;
     QuotaBounds quotas;
+    CallerPatience callerPatience;
     Duration drainTime { 2500 }; /**< From the stop signal until no connection is taken any more. */
     Duration stopTime { 7000 }; /**< From the stop signal until what still runs is given up. */
 
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -85,6 +85,8 @@
     Task<void> keepHouse();
     Task<void> fetchState();
     NodeReport makeReport(bool withPeers);
+    std::string homeOf(const std::string& pool) const;
+    void send(const std::string& address, const Message&);
     std::optional<QuotaRefusal> takeQuota(const GatewayOrganisation&, int tokens);
     void run(const char* name, Task<void>);
 
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -2,7 +2,6 @@
 
 #include <base/TimerService.h>
 #include <protocol/Messages.h>
-#include <sched/PoolScheduler.h>
 
 #include <map>
 #include <optional>
@@ -44,8 +43,11 @@
     /** @return addresses of live peers. */
     std::vector<std::string> live() const;
 
-    /** @return what live peers run, by upstream. */
-    std::map<std::string, PeerLoad> loads(TimePoint now) const;
+    /** @return addresses of live peers that take requests and do not leave. */
+    std::vector<std::string> members() const;
+
+    /** Leaves a peer that did not answer out of members() for a while. */
+    void suspect(const std::string& address, TimePoint until);
 
     /** @return how many nodes there are with this one, counting those heard lately. */
     int nodes() const { return static_cast<int>(live().size()) + 1; }
@@ -69,6 +71,7 @@
         bool wasHeard = false;
         TimePoint added {};
         TimePoint heard {};
+        TimePoint suspectedUntil {};
         NodeReport report;
         std::map<std::string, int64_t> usage; /**< Tokens counted of this peer, over its restarts. */
     };
@@ -79,6 +82,7 @@
     PeerBounds m_bounds;
     std::map<std::string, Peer> m_peers;
     std::map<std::string, int64_t> m_forgottenUsage;
+    TimePoint m_now {}; /**< Of the last expiry. */
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/include/gateway/PlaceDesk.h
+++ b/libs/gateway/include/gateway/PlaceDesk.h
@@ -1,28 +1,42 @@
 #pragma once
 
+#include <gateway/DecisionLog.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/UpstreamDirectory.h>
 #include <net/Async.h>
+#include <protocol/Messages.h>
 #include <sched/PoolScheduler.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 
 namespace bronzeswitch {
 
 /**
- * Gives this node's requests places at upstreams.
+ * Gets this node's requests places at upstreams, and gives places to peers for the pools whose home is this node.
  *
- * Each service has a scheduler on each node. Nodes tell each other what they run where, so that all decide alike without
- * asking; a node that hears nobody goes on with what the upstreams themselves report.
+ * Engines of one service form a pool, which has its home at one node, so that all waiting asks stand in one order. Plain
+ * services are short and are placed by each node itself. A home that does not answer within a bound is left out for a while,
+ * and the ask is decided here by what the nodes tell each other of their load; nothing that must hold depends on the home.
  *
  *     auto grant = co_await desk.acquire(ask, deadline);
  *     ...
- *     desk.release(ask.pool, done);
+ *     desk.release(grant->upstream, done);
  */
 class PlaceDesk {
 public:
-    PlaceDesk(Executor, std::string node, std::string dataCentre);
+    /** How the desk reaches other nodes. */
+    struct Links {
+        std::function<std::string(const std::string& pool)> homeOf; /**< @return the address of a pool's home. */
+        std::function<void(const std::string& node, const Message&)> send;
+        std::function<void(const std::string& node)> onSilent; /**< The home did not answer. */
+    };
+
+    /** @param node this node's peer address. */
+    PlaceDesk(Executor, std::string node, std::string dataCentre, DecisionLog&);
+
+    void connect(Links links) { m_links = std::move(links); }
 
     /** Takes new routes or upstreams. */
     void configure(const RoutingTable&, const UpstreamDirectory&);
@@ -35,16 +49,22 @@
     Task<tl::expected<PlaceGrant, PlaceRefuse>> acquire(PlaceAsk ask, TimePoint deadline);
 
     /** Ends the wait of an ask whose caller has left. */
-    void cancel(const std::string& service, uint64_t askId);
+    void cancel(uint64_t askId);
 
     /** Returns a place. */
-    void release(const std::string& service, const PlaceDone&);
+    void release(const std::string& upstream, const PlaceDone&);
 
     /** Takes what an upstream said of its load just now. */
     void report(const std::string& service, const std::string& upstream, const LoadReport&);
 
-    /** Takes what the peers run, by upstream. */
-    void setPeerLoads(const std::map<std::string, PeerLoad>& loads);
+    /** Takes a peer's message about places. */
+    void onMessage(const std::string& from, const Message&);
+
+    /** Takes what a peer says of its load. */
+    void setPeerLoads(const std::string& peer, const std::vector<UpstreamLoad>&);
+
+    /** Frees what a peer that is gone holds here. */
+    void peerLost(const std::string& peer);
 
     /** @return what this node runs and has learned. */
     std::vector<UpstreamLoad> loads() const;
@@ -53,28 +73,46 @@
     void tick();
 
     uint64_t nextAskId() { return ++m_lastAskId; }
-    std::size_t waiting() const;
-    std::size_t running() const;
+    std::size_t waiting() const { return m_waiting.size(); }
+    int running() const;
 
 private:
     struct Waiting {
-        explicit Waiting(Executor executor)
+        Waiting(Executor executor, PlaceAsk placeAsk)
             : event(executor)
+            , ask(std::move(placeAsk))
         {
         }
         AsyncEvent event;
+        PlaceAsk ask;
+        std::string home; /**< Where the ask is now. */
+        bool isAcknowledged = false;
+        int unanswered = 0; /**< Sendings without a word from the home. */
         std::optional<PlaceGrant> grant;
+        std::string grantor;
         std::optional<PlaceRefuse> refusal;
     };
 
+    Duration sendAsk(Waiting&, TimePoint now);
+    Duration askHere(Waiting&, TimePoint now);
+    void withdraw(const Waiting&);
+    void onAsk(const std::string& from, const PlaceAsk&);
+    void onGrant(const std::string& from, const PlaceGrant&);
+    void onRefuse(const std::string& from, const PlaceRefuse&);
     void carryOut(const PlaceDecisions&);
-    PoolScheduler* find(const std::string& service);
+    PoolScheduler* find(const std::string& pool);
+    void tellOwnLoad(const std::string& upstream);
 
     Executor m_executor;
     std::string m_node;
     std::string m_dataCentre;
+    DecisionLog& m_log;
+    Links m_links;
     std::map<std::string, PoolScheduler> m_pools;
+    std::map<std::string, bool> m_isShared; /**< Pools that have a home. */
     std::map<uint64_t, std::shared_ptr<Waiting>> m_waiting;
+    std::map<uint64_t, std::string> m_grantors; /**< Who granted the places that this node uses. */
+    std::map<std::string, int> m_running; /**< Requests that this node runs, by upstream. */
     uint64_t m_lastAskId = 0;
 };
 
--- a/libs/gateway/include/gateway/RoutingTable.h
+++ b/libs/gateway/include/gateway/RoutingTable.h
@@ -36,6 +36,7 @@
     std::vector<ServiceShare> services;
     Duration timeout { 30000 };
     Duration targetLatency { 1000 }; /**< For streams: to the first event. */
+    Duration targetGap { 0 }; /**< For streams: longest pause between events that is still in time. */
     int rank = 0; /**< 0 is the highest. */
     int maxAttempts = 1; /**< Upstreams that one request may be sent to. */
     bool isAnonymous = false;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -1,3 +1,4 @@
+#include <base/Hash.h>
 #include <base/HttpStatus.h>
 #include <gateway/GatewayNode.h>
 #include <protocol/Messages.h>
@@ -11,6 +12,7 @@
 constexpr std::size_t nodesAtFullRate = 16; // With more nodes, each reports less often.
 constexpr int peersEvery = 10; // Reports from one that names other peers to the next.
 constexpr std::size_t peersNamed = 24;
+constexpr Duration suspicionTime { 1000 };
 constexpr Duration houseInterval { 100 };
 constexpr Duration clientSweepInterval { 1000 };
 constexpr Duration fetchTime { 1000 };
@@ -49,7 +51,7 @@
     , m_writer(writer)
     , m_log(m_options.node, writer, m_options.logLinesPerSecond)
     , m_clients(loop.get_executor(), {})
-    , m_places(loop.get_executor(), m_options.node, m_options.dataCentre)
+    , m_places(loop.get_executor(), text({ m_options.peers.address(), m_options.peers.port() }), m_options.dataCentre, m_log)
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(dialect), m_log, m_metrics, m_clients, m_places, nullptr, {},
         {}, [this] { return m_peers.knownNodes(); },
         [this](const GatewayOrganisation& organisation, int tokens) { return takeQuota(organisation, tokens); } }
@@ -94,6 +96,9 @@
 void GatewayNode::start(StateSource source)
 {
     m_source = std::move(source);
+    m_places.connect({ [this](const std::string& pool) { return homeOf(pool); },
+        [this](const std::string& address, const Message& message) { send(address, message); },
+        [this](const std::string& address) { m_peers.suspect(address, monotonicNow() + suspicionTime); } });
     const auto onFailure
         = [this](const std::string& reason) { m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } }); };
     m_callers->start();
@@ -165,11 +170,28 @@
         return;
     }
     const auto* report = std::get_if<NodeReport>(&*message);
-    if (!report)
+    if (!report) {
+        m_places.onMessage(text(from), *message);
         return;
+    }
     if (m_peers.onReport(text(from), *report, monotonicNow()))
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.nodes() } });
-    m_places.setPeerLoads(m_peers.loads(monotonicNow()));
+    m_places.setPeerLoads(text(from), report->loads);
+}
+
+void GatewayNode::send(const std::string& address, const Message& message)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (endpoint)
+        m_datagrams->send({ endpoint->address(), endpoint->port() }, encode(message));
+}
+
+std::string GatewayNode::homeOf(const std::string& pool) const
+{
+    auto members = m_peers.members();
+    if (isReady() || members.empty())
+        members.push_back(peerAddress());
+    return rendezvous("pool/" + pool, members);
 }
 
 NodeReport GatewayNode::makeReport(bool withPeers)
@@ -230,8 +252,8 @@
         const auto lost = m_peers.expire(now);
         for (const auto& address : lost)
             m_log.write(events::membersChanged, { { "lost", address }, { "members", m_peers.nodes() } });
-        if (!lost.empty())
-            m_places.setPeerLoads(m_peers.loads(monotonicNow()));
+        for (const auto& address : lost)
+            m_places.peerLost(address);
         changeDirectory([&](UpstreamDirectory& directory) { return directory.expire(now); });
         m_places.tick();
         m_writer.flush();
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -3,12 +3,6 @@
 
 namespace bronzeswitch {
 
-namespace {
-
-constexpr double millisecondsPerSecond = 1000;
-
-} // namespace
-
 PeerView::PeerView(std::string ownAddress, PeerBounds bounds)
     : m_ownAddress(std::move(ownAddress))
     , m_bounds(bounds)
@@ -63,6 +57,7 @@
 
 std::vector<std::string> PeerView::expire(TimePoint now)
 {
+    m_now = now;
     std::vector<std::string> lost;
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         auto& peer = entry->second;
@@ -101,27 +96,23 @@
     return result;
 }
 
-std::map<std::string, PeerLoad> PeerView::loads(TimePoint now) const
+std::vector<std::string> PeerView::members() const
 {
-    std::map<std::string, PeerLoad> result;
-    std::map<std::string, int> teachers;
+    std::vector<std::string> result;
     for (const auto& [address, peer] : m_peers) {
-        if (!peer.isLive)
-            continue;
-        const double age = toSeconds(now - peer.heard);
-        for (const auto& load : peer.report.loads) {
-            auto& sum = result[load.upstream];
-            sum.running += load.running;
-            sum.backlogSeconds += std::max(0.0, load.backlogMs / millisecondsPerSecond - age);
-            sum.betweenTokensMs += load.betweenTokensUs / millisecondsPerSecond;
-            teachers[load.upstream] += load.betweenTokensUs > 0 ? 1 : 0;
-        }
+        const bool isSuspected = peer.suspectedUntil > m_now;
+        if (peer.isLive && peer.report.isReady && !peer.report.isDraining && !isSuspected)
+            result.push_back(address);
     }
-    for (auto& [upstream, sum] : result)
-        sum.betweenTokensMs /= std::max(1, teachers[upstream]);
     return result;
 }
 
+void PeerView::suspect(const std::string& address, TimePoint until)
+{
+    if (const auto found = m_peers.find(address); found != m_peers.end())
+        found->second.suspectedUntil = until;
+}
+
 int PeerView::knownNodes() const
 {
     return 1 + static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.wasHeard; }));
--- a/libs/gateway/src/PlaceDesk.cpp
+++ b/libs/gateway/src/PlaceDesk.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <gateway/PlaceDesk.h>
 #include <set>
 
@@ -8,6 +9,9 @@
 constexpr const char* stableVersion = "stable";
 constexpr double millisecondsPerSecond = 1000;
 constexpr NominalSpeed engineSpeed { 55000, 3.6 };
+constexpr Duration answerBound { 40 }; // For a home's first word on an ask.
+constexpr int sendings = 2; // After so many without a word the ask is decided here.
+constexpr Duration askAgain { 250 }; // To a home at which the ask waits.
 constexpr int plainServiceSlots = 6; // Used when neither the service nor its upstream tells a number.
 
 Upstream makeUpstream(const UpstreamEntry& entry, const GatewayService& service)
@@ -47,10 +51,11 @@
     return plan;
 }
 
-PlaceDesk::PlaceDesk(Executor executor, std::string node, std::string dataCentre)
+PlaceDesk::PlaceDesk(Executor executor, std::string node, std::string dataCentre, DecisionLog& log)
     : m_executor(executor)
     , m_node(std::move(node))
     , m_dataCentre(std::move(dataCentre))
+    , m_log(log)
 {
 }
 
@@ -60,6 +65,7 @@
     std::set<std::string> names;
     for (const auto& service : table.document().services) {
         names.insert(service.name);
+        m_isShared[service.name] = service.isEngine();
         auto& pool = m_pools.try_emplace(service.name, now).first->second;
         carryOut(pool.configure(makePoolPlan(table, directory, service, m_dataCentre), now));
     }
@@ -69,47 +75,117 @@
             continue;
         }
         carryOut(pool->second.refuseAll(RefusalReason::NoUpstream));
+        m_isShared.erase(pool->first);
         pool = m_pools.erase(pool);
     }
 }
 
-PoolScheduler* PlaceDesk::find(const std::string& service)
+PoolScheduler* PlaceDesk::find(const std::string& pool)
 {
-    const auto found = m_pools.find(service);
+    const auto found = m_pools.find(pool);
     return found == m_pools.end() ? nullptr : &found->second;
 }
 
 Task<tl::expected<PlaceGrant, PlaceRefuse>> PlaceDesk::acquire(PlaceAsk ask, TimePoint deadline)
 {
-    auto* pool = find(ask.pool);
-    if (!pool)
+    const auto start = monotonicNow();
+    if (!find(ask.pool))
         co_return tl::unexpected(PlaceRefuse { ask.id, RefusalReason::NoUpstream, 0 });
-    const auto now = monotonicNow();
-    ask.deadlineMs = std::chrono::duration_cast<Duration>(deadline - now).count();
-    const auto waiting = std::make_shared<Waiting>(m_executor);
+    ask.deadlineMs = std::chrono::duration_cast<Duration>(deadline - start).count();
+    const auto waiting = std::make_shared<Waiting>(m_executor, ask);
     m_waiting[ask.id] = waiting;
-    carryOut(pool->ask(m_node, ask, now));
-    co_await waiting->event.wait(deadline);
+    const auto lastStart = ask.startMs ? std::min(deadline, start + Duration(ask.startMs)) : deadline;
+    for (auto now = start; now < lastStart && !waiting->event.isSet(); now = monotonicNow()) {
+        const auto pause = sendAsk(*waiting, now);
+        co_await waiting->event.wait(std::min(lastStart, now + pause));
+    }
     m_waiting.erase(ask.id);
-    if (waiting->grant)
+    if (waiting->grant) {
+        ++m_running[waiting->grant->upstream];
+        tellOwnLoad(waiting->grant->upstream);
+        m_grantors[ask.id] = waiting->grantor;
         co_return *waiting->grant;
-    if (auto* current = find(ask.pool))
-        current->cancel(m_node, ask.id);
+    }
+    if (!waiting->refusal)
+        withdraw(*waiting);
     co_return tl::unexpected(waiting->refusal.value_or(PlaceRefuse { ask.id, RefusalReason::DeadlineTooShort, 0 }));
 }
 
-void PlaceDesk::cancel(const std::string& service, uint64_t askId)
+// Sends the ask, or sends it again; returns how long to wait for a word.
+Duration PlaceDesk::sendAsk(Waiting& waiting, TimePoint now)
 {
-    if (auto* pool = find(service))
-        pool->cancel(m_node, askId);
-    if (const auto found = m_waiting.find(askId); found != m_waiting.end())
-        found->second->event.set();
+    const auto shared = m_isShared.find(waiting.ask.pool);
+    const bool hasHome = shared != m_isShared.end() && shared->second && m_links.homeOf;
+    const auto home = hasHome ? m_links.homeOf(waiting.ask.pool) : m_node;
+    const bool hasMoved = !waiting.home.empty() && waiting.home != home;
+    if (hasMoved)
+        withdraw(waiting);
+    if (hasMoved || waiting.isAcknowledged)
+        waiting.unanswered = 0;
+    waiting.isAcknowledged = false;
+    waiting.home = home;
+    if (home == m_node)
+        return askHere(waiting, now);
+    if (waiting.unanswered >= sendings) {
+        m_log.write(events::homeLeft, { { "pool", waiting.ask.pool }, { "home", home }, { "reason", "no answer" } });
+        m_links.onSilent(home);
+        waiting.home = m_node;
+        return askHere(waiting, now);
+    }
+    ++waiting.unanswered;
+    m_links.send(home, waiting.ask);
+    return waiting.unanswered == 1 ? answerBound : answerBound * sendings;
 }
 
-void PlaceDesk::release(const std::string& service, const PlaceDone& done)
+Duration PlaceDesk::askHere(Waiting& waiting, TimePoint now)
 {
-    if (auto* pool = find(service))
-        carryOut(pool->done(m_node, done, monotonicNow()));
+    waiting.isAcknowledged = true;
+    auto* pool = find(waiting.ask.pool);
+    if (!pool) {
+        waiting.refusal = PlaceRefuse { waiting.ask.id, RefusalReason::NoUpstream, 0 };
+        waiting.event.set();
+        return askAgain;
+    }
+    carryOut(pool->ask(m_node, waiting.ask, now));
+    return askAgain;
+}
+
+void PlaceDesk::withdraw(const Waiting& waiting)
+{
+    if (waiting.home != m_node)
+        m_links.send(waiting.home, PlaceCancel { waiting.ask.id });
+    else if (auto* pool = find(waiting.ask.pool))
+        pool->cancel(m_node, waiting.ask.id);
+}
+
+void PlaceDesk::cancel(uint64_t askId)
+{
+    const auto found = m_waiting.find(askId);
+    if (found == m_waiting.end())
+        return;
+    withdraw(*found->second);
+    found->second->refusal = PlaceRefuse { askId, RefusalReason::Evicted, 0 };
+    found->second->event.set();
+}
+
+void PlaceDesk::release(const std::string& upstream, const PlaceDone& done)
+{
+    if (auto running = m_running.find(upstream); running != m_running.end() && --running->second <= 0)
+        m_running.erase(running);
+    const auto grantor = m_grantors.extract(done.id);
+    if (!grantor.empty() && grantor.mapped() != m_node)
+        m_links.send(grantor.mapped(), done);
+    for (auto& [name, pool] : m_pools)
+        carryOut(pool.done(m_node, done, monotonicNow()));
+    tellOwnLoad(upstream);
+}
+
+// The schedulers count what this node runs by the grant of another home too.
+void PlaceDesk::tellOwnLoad(const std::string& upstream)
+{
+    const auto running = m_running.find(upstream);
+    for (auto& [name, pool] : m_pools)
+        pool.setReported(m_node, upstream, running == m_running.end() ? 0 : running->second);
 }
 
 void PlaceDesk::report(const std::string& service, const std::string& upstream, const LoadReport& report)
@@ -118,52 +194,138 @@
         pool->report(upstream, report, monotonicNow());
 }
 
-void PlaceDesk::setPeerLoads(const std::map<std::string, PeerLoad>& loads)
+void PlaceDesk::onMessage(const std::string& from, const Message& message)
+{
+    if (const auto* ask = std::get_if<PlaceAsk>(&message))
+        return onAsk(from, *ask);
+    if (const auto* grant = std::get_if<PlaceGrant>(&message))
+        return onGrant(from, *grant);
+    if (const auto* refusal = std::get_if<PlaceRefuse>(&message))
+        return onRefuse(from, *refusal);
+    if (const auto* queued = std::get_if<PlaceQueued>(&message)) {
+        if (const auto found = m_waiting.find(queued->id); found != m_waiting.end() && found->second->home == from)
+            found->second->isAcknowledged = true;
+        return;
+    }
+    const auto now = monotonicNow();
+    for (auto& [name, pool] : m_pools) {
+        if (const auto* done = std::get_if<PlaceDone>(&message))
+            carryOut(pool.done(from, *done, now));
+        if (const auto* cancelled = std::get_if<PlaceCancel>(&message)) {
+            pool.cancel(from, cancelled->id);
+            carryOut(pool.done(from, { cancelled->id, DispatchOutcome::Cancelled, 0, 0, 0, 0 }, now));
+        }
+    }
+}
+
+void PlaceDesk::onAsk(const std::string& from, const PlaceAsk& ask)
+{
+    auto* pool = find(ask.pool);
+    if (!pool) {
+        m_links.send(from, PlaceRefuse { ask.id, RefusalReason::NotHome, 0 });
+        return;
+    }
+    const auto decisions = pool->ask(from, ask, monotonicNow());
+    const bool isDecided = std::any_of(decisions.begin(), decisions.end(), [&](const PlaceDecision& decision) {
+        return decision.node == from && std::visit([&](const auto& answer) { return answer.id == ask.id; }, decision.answer);
+    });
+    carryOut(decisions);
+    if (!isDecided)
+        m_links.send(from, PlaceQueued { ask.id });
+}
+
+void PlaceDesk::onGrant(const std::string& from, const PlaceGrant& grant)
 {
-    for (auto& [service, pool] : m_pools)
-        carryOut(pool.setPeerLoads(loads, monotonicNow()));
+    const auto found = m_waiting.find(grant.id);
+    const bool isWanted = found != m_waiting.end() && !found->second->event.isSet();
+    if (!isWanted) {
+        const auto used = m_grantors.find(grant.id);
+        const bool isKnown = (used != m_grantors.end() && used->second == from)
+            || (found != m_waiting.end() && found->second->grant && found->second->grantor == from);
+        if (isKnown)
+            return;
+        const PlaceDone unused { grant.id, DispatchOutcome::Cancelled, 0, 0, 0, 0 };
+        if (from != m_node)
+            m_links.send(from, unused);
+        return;
+    }
+    found->second->grant = grant;
+    found->second->grantor = from;
+    found->second->event.set();
+}
+
+void PlaceDesk::onRefuse(const std::string& from, const PlaceRefuse& refusal)
+{
+    const auto found = m_waiting.find(refusal.id);
+    if (found == m_waiting.end() || found->second->event.isSet() || found->second->home != from)
+        return;
+    if (refusal.reason == RefusalReason::NotHome) {
+        found->second->unanswered = sendings;
+        return;
+    }
+    found->second->refusal = refusal;
+    found->second->event.set();
+}
+
+void PlaceDesk::setPeerLoads(const std::string& peer, const std::vector<UpstreamLoad>& loads)
+{
+    std::map<std::string, NodeLoad> byUpstream;
+    for (const auto& load : loads)
+        byUpstream[load.upstream] = { load.running, load.backlogMs / millisecondsPerSecond, load.betweenTokensUs / millisecondsPerSecond };
+    for (auto& [name, pool] : m_pools)
+        carryOut(pool.setNodeLoads(peer, byUpstream, monotonicNow()));
+}
+
+void PlaceDesk::peerLost(const std::string& peer)
+{
+    for (auto& [name, pool] : m_pools)
+        carryOut(pool.nodeLost(peer, monotonicNow()));
 }
 
 std::vector<UpstreamLoad> PlaceDesk::loads() const
 {
-    std::vector<UpstreamLoad> result;
-    for (const auto& [service, pool] : m_pools) {
-        for (const auto& [upstream, load] : pool.ownLoads(monotonicNow()))
-            result.push_back({ upstream, load.running, static_cast<int>(load.backlogSeconds * millisecondsPerSecond),
-                static_cast<int>(load.betweenTokensMs * millisecondsPerSecond) });
+    std::map<std::string, UpstreamLoad> result;
+    for (const auto& [upstream, running] : m_running)
+        result[upstream] = { upstream, running, 0, 0 };
+    for (const auto& [name, pool] : m_pools) {
+        for (const auto& [upstream, load] : pool.learned(monotonicNow())) {
+            auto& entry = result[upstream];
+            entry.upstream = upstream;
+            entry.backlogMs = static_cast<int>(load.backlogSeconds * millisecondsPerSecond);
+            entry.betweenTokensUs = static_cast<int>(load.betweenTokensMs * millisecondsPerSecond);
+        }
     }
-    return result;
+    std::vector<UpstreamLoad> list;
+    for (auto& [upstream, entry] : result)
+        list.push_back(std::move(entry));
+    return list;
 }
 
 void PlaceDesk::tick()
 {
-    for (auto& [service, pool] : m_pools)
+    for (auto& [name, pool] : m_pools)
         carryOut(pool.tick(monotonicNow()));
 }
 
 void PlaceDesk::carryOut(const PlaceDecisions& decisions)
 {
     for (const auto& decision : decisions) {
-        const auto* grant = std::get_if<PlaceGrant>(&decision.answer);
-        const auto id = grant ? grant->id : std::get<PlaceRefuse>(decision.answer).id;
-        const auto found = m_waiting.find(id);
-        if (found == m_waiting.end())
+        if (decision.node != m_node) {
+            std::visit([&](const auto& answer) { m_links.send(decision.node, answer); }, decision.answer);
             continue;
-        if (grant)
-            found->second->grant = *grant;
+        }
+        if (const auto* grant = std::get_if<PlaceGrant>(&decision.answer))
+            onGrant(m_node, *grant);
         else
-            found->second->refusal = std::get<PlaceRefuse>(decision.answer);
-        found->second->event.set();
+            onRefuse(m_node, std::get<PlaceRefuse>(decision.answer));
     }
 }
 
-std::size_t PlaceDesk::waiting() const { return m_waiting.size(); }
-
-std::size_t PlaceDesk::running() const
+int PlaceDesk::running() const
 {
-    std::size_t count = 0;
-    for (const auto& [service, pool] : m_pools)
-        count += pool.inFlight();
+    int count = 0;
+    for (const auto& [upstream, running] : m_running)
+        count += running;
     return count;
 }
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -101,7 +101,7 @@
     if (m_active)
         m_active->abort();
     else
-        m_context.places.cancel(m_service, m_askId);
+        m_context.places.cancel(m_askId);
 }
 
 std::optional<Problem> RequestTask::admit()
@@ -119,6 +119,7 @@
         return Problem { httpstatus::notFound, "no-route", Execution::NotRun, "no route for this host and path", std::nullopt };
     m_routeDeadline = m_arrived + m_route->timeout;
     m_deadline = std::min(m_routeDeadline, m_arrived + m_head.patience.value_or(m_route->timeout));
+    m_silenceDeadline = m_arrived + m_context.bounds.callerPatience.of(*m_route);
     m_stream = EventStream(m_head.lastEventId);
     return admitOrganisation();
 }
@@ -169,6 +170,7 @@
     ask.promptTokens = m_head.promptTokens.value_or(0);
     ask.outputTokens = m_head.expectedTokens.value_or(m_head.outputTokens);
     ask.targetMs = m_route->kind == RequestKind::Stream ? m_route->targetLatency.count() : 0;
+    ask.startMs = m_route->kind == RequestKind::Stream ? left(m_silenceDeadline).count() : 0;
     ask.prefixes = m_head.prefixes;
     ask.excluded = m_excluded;
     return ask;
@@ -256,7 +258,7 @@
 
 OutgoingRequest RequestTask::makeRequest(const Dispatch& current) const
 {
-    const DispatchHead head { current.upstream.id, left(), m_organisation ? m_organisation->name : "", m_stream.lastEventId() };
+    const DispatchHead head { current.upstream.id, left(m_deadline), m_organisation ? m_organisation->name : "", m_stream.lastEventId() };
     const auto fields = m_context.dialect.makeDispatch(messageFields(m_request.base()), head);
     const auto method = m_request.method_string();
     const auto target = m_request.target();
@@ -425,7 +427,7 @@
         constexpr double microsecondsPerSecond = 1e6;
         done.betweenTokensUs = static_cast<int>(perToken * microsecondsPerSecond);
     }
-    m_context.places.release(m_service, done);
+    m_context.places.release(current.grant.upstream, done);
 }
 
 Task<bool> RequestTask::answerAfterFailure(Outcome worst)
@@ -466,7 +468,7 @@
     co_return co_await sendWhole(head, toJsonText(problem)) && isKeepAlive();
 }
 
-Duration RequestTask::left() const { return std::max(Duration(1), std::chrono::floor<Duration>(m_deadline - monotonicNow())); }
+Duration RequestTask::left(TimePoint until) const { return std::max(Duration(1), std::chrono::floor<Duration>(until - monotonicNow())); }
 
 bool RequestTask::isKeepAlive() const { return m_request.keep_alive() && !m_context.isDraining; }
 
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -68,7 +68,7 @@
     Task<bool> sendProblem(const Problem&);
     Task<bool> sendWhole(const AnswerHead&, const std::string& body);
     void onCallerLeft();
-    Duration left() const;
+    Duration left(TimePoint until) const;
     bool isKeepAlive() const;
     Duration idleTimeout() const;
     void logDispatch(const Dispatch&, Outcome) const;
@@ -86,6 +86,7 @@
     TimePoint m_arrived;
     TimePoint m_deadline;
     TimePoint m_routeDeadline;
+    TimePoint m_silenceDeadline; /**< When the caller gives up a stream that has not begun. */
     EventStream m_stream { std::nullopt };
     bool m_hasBegun = false; /**< The head of an answer has been sent. */
     bool m_hasLeft = false;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -71,6 +71,7 @@
     std::vector<std::string> excluded; /**< Upstreams that could not be reached. */
     bool isForced = false; /**< Asks a node that does not believe to be the home, after it has refused repeatedly. */
     int64_t targetMs = 0; /**< Time in which the first token is wanted, 0 for none. */
+    int64_t startMs = 0; /**< Time after which the caller gives up if nothing has come, 0 for none. */
 
     bool operator==(const PlaceAsk&) const = default;
 };
@@ -97,6 +98,13 @@
     bool operator==(const PlaceRefuse&) const = default;
 };
 
+/** Tells that an ask waits at the home. */
+struct PlaceQueued {
+    uint64_t id = 0;
+
+    bool operator==(const PlaceQueued&) const = default;
+};
+
 /** Takes an ask back, because the caller has left. */
 struct PlaceCancel {
     uint64_t id = 0;
@@ -234,7 +242,7 @@
 };
 
 using Message = std::variant<Hello, Heartbeat, HeartbeatAck, StateAsk, StateOffer, PlaceAsk, PlaceGrant, PlaceRefuse, PlaceCancel,
-    PlaceDone, PlaceHeld, ClaimAsk, ClaimAnswer, ClaimOutcome, RolloutAlarm, ClaimDeclare, ClaimDeclareAck, NodeReport>;
+    PlaceDone, PlaceHeld, ClaimAsk, ClaimAnswer, ClaimOutcome, RolloutAlarm, ClaimDeclare, ClaimDeclareAck, NodeReport, PlaceQueued>;
 
 /** @return the message as a CBOR array: its type number, then its fields. */
 std::string encode(const Message&);
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -24,19 +24,19 @@
         return std::tie(message.state);
     else if constexpr (std::is_same_v<Type, PlaceAsk>)
         return std::tie(message.id, message.pool, message.route, message.organisation, message.rank, message.promptTokens,
-            message.outputTokens, message.deadlineMs, message.prefixes, message.excluded, message.isForced, message.targetMs);
+            message.outputTokens, message.deadlineMs, message.prefixes, message.excluded, message.isForced, message.targetMs, message.startMs);
     else if constexpr (std::is_same_v<Type, PlaceGrant>)
         return std::tie(message.id, message.upstream, message.version, message.rollout);
     else if constexpr (std::is_same_v<Type, PlaceRefuse>)
         return std::tie(message.id, message.reason, message.retryAfterMs);
-    else if constexpr (std::is_same_v<Type, PlaceCancel>)
+    else if constexpr (std::is_same_v<Type, PlaceCancel> || std::is_same_v<Type, PlaceQueued>)
         return std::tie(message.id);
     else if constexpr (std::is_same_v<Type, PlaceDone>)
         return std::tie(
             message.id, message.outcome, message.firstTokenMs, message.betweenTokensUs, message.outputTokens, message.cachedTokens);
     else if constexpr (std::is_same_v<Type, PlaceHeld>)
         return std::tie(message.ask.id, message.ask.pool, message.ask.route, message.ask.organisation, message.ask.rank,
-            message.ask.promptTokens, message.ask.outputTokens, message.ask.deadlineMs, message.ask.prefixes, message.ask.targetMs, message.upstream,
+            message.ask.promptTokens, message.ask.outputTokens, message.ask.deadlineMs, message.ask.prefixes, message.ask.targetMs, message.ask.startMs, message.upstream,
             message.version, message.rollout);
     else if constexpr (std::is_same_v<Type, PrefixMark>)
         return std::tie(message.hash, message.tokens);
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -2,6 +2,7 @@
 
 #include <config/Configuration.h>
 #include <sched/AdmissionLimit.h>
+#include <sched/NodeCounts.h>
 #include <sched/PrefixHistory.h>
 #include <sched/SpeedEstimate.h>
 #include <sched/WaitingRoom.h>
@@ -72,13 +73,13 @@
     bool operator==(const LoadReport&) const = default;
 };
 
-/** What other schedulers of the same upstream run there. */
-struct PeerLoad {
+/** What a node runs at an upstream and knows of it. */
+struct NodeLoad {
     int running = 0;
-    double backlogSeconds = 0; /**< Until their prompts have been read. */
-    double betweenTokensMs = 0; /**< As they have learned it, 0 if they have not. */
+    double backlogSeconds = 0; /**< Until the prompts that were sent there have been read. */
+    double betweenTokensMs = 0; /**< As the node has learned it, 0 if it has not. */
 
-    bool operator==(const PeerLoad&) const = default;
+    bool operator==(const NodeLoad&) const = default;
 };
 
 /** Counters and state of one upstream for operators. */
@@ -130,8 +131,10 @@
     void report(const std::string& upstream, const LoadReport&, TimePoint now);
     void cacheEvent(const std::string& upstream, int64_t sequence, bool isStored, uint64_t prefix);
 
-    /** Takes what other schedulers of the same upstreams run there, by upstream. */
-    PlaceDecisions setPeerLoads(const std::map<std::string, PeerLoad>& loads, TimePoint now);
+    /**
+     * Takes what a node says of itself, by upstream. Places that it should have and does not run are free after a while.
+     */
+    PlaceDecisions setNodeLoads(const std::string& node, const std::map<std::string, NodeLoad>&, TimePoint now);
 
     /** Closes an upstream to new work for a while, or opens it again. */
     void setClosed(const std::string& upstream, bool isClosed);
@@ -152,8 +155,14 @@
     std::size_t inFlight() const { return m_places.size(); }
     int inFlight(const std::string& upstream) const;
 
-    /** @return what this scheduler runs and has learned, for the others. */
-    std::map<std::string, PeerLoad> ownLoads(TimePoint now) const;
+    /** Takes how many requests a node runs at one upstream. */
+    void setReported(const std::string& node, const std::string& upstream, int running);
+
+    /** @return what this scheduler has learned of its upstreams, for the schedulers of other nodes; nothing runs. */
+    std::map<std::string, NodeLoad> learned(TimePoint now) const;
+
+    /** @return true if an ask waits here or has a place. */
+    bool knows(const std::string& node, uint64_t askId) const;
     std::vector<UpstreamSummary> summaries(TimePoint now) const;
     const PoolPlan& plan() const { return m_plan; }
 
@@ -176,15 +185,14 @@
         SpeedEstimate speed;
         PrefixHistory prefixes;
         bool isClosed = false;
-        int inFlight = 0;
+        NodeCounts counts;
         int foreign = 0; /**< Requests that the upstream reports and this scheduler doesn't know of. */
-        PeerLoad peers;
-        TimePoint peersTold {}; /**< When the peers' load was told. */
+        TimePoint backlogUntil {}; /**< By what other schedulers tell. */
         TimePoint lastGrant {};
         std::deque<std::pair<TimePoint, int>> inFlightHistory;
 
         /** @return the requests that run there, as far as this scheduler knows. */
-        int load() const { return inFlight + std::max(foreign, peers.running); }
+        int load() const { return std::max(counts.places() + foreign, counts.load()); }
     };
 
     struct ShareCount {
@@ -214,10 +222,12 @@
     int uncachedTokens(const UpstreamState&, const PlaceAsk&) const;
     double firstTokenSeconds(const UpstreamState&, const PlaceAsk&, TimePoint now) const;
     double serviceSeconds(const UpstreamState&, const PlaceAsk&) const;
+    double fastestService(const Waiter&, const VersionPlan&, const std::string& version) const;
     double placeCost(const UpstreamState&, const PlaceAsk&, TimePoint now) const;
     PlaceGrant grant(const Waiter&, const Choice&, TimePoint now);
     void addPlace(Place);
     void freePlace(const Place&);
+    void freeUnusedPlaces(const std::string& node, TimePoint now);
     void learn(UpstreamState&, const PlaceDone&, TimePoint now);
     const VersionPlan* versionPlan(const std::string& route) const;
     bool mayUseCandidate(const VersionPlan&);
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -9,13 +9,17 @@
 constexpr double largestReserveShare = 0.125; // Of the pool's places, kept free for the highest rank.
 constexpr double peakDecayPerTick = 0.99;
 constexpr double loadSpreadSeconds = 0.2; // Cost of a full upstream against an idle one.
+constexpr double lengthMargin = 1.6; // Answers are often longer than expected.
+constexpr double nearFastest = 1.25;
 constexpr double targetUse = 0.8; // Part of the target latency that reading the prompt may take.
+constexpr double readingWeight = 0.5; // Prompts that are read again hold up the other requests there.
 constexpr double lateSeconds = 2; // What a late first token counts against a later end.
 constexpr double otherDataCentreSeconds = 0.004; // Two crossings more, and bytes that cost.
 constexpr Duration placeGrace { 5000 };
 constexpr Duration oldestUsableReport { 10000 };
 constexpr Duration historySpan { 12000 };
 constexpr int foreignTolerance = 1;
+constexpr Duration unusedPlaceAge { 1000 }; // Until then the node's report may be older than its place.
 constexpr double millisecondsPerSecond = 1000;
 constexpr Duration retryFloor { 200 };
 constexpr Duration retryCeiling { 30000 };
@@ -61,7 +65,7 @@
         if (!names.contains(name))
             state.config.leaving = true;
     }
-    std::erase_if(m_upstreams, [&](const auto& entry) { return !names.contains(entry.first) && !entry.second.inFlight; });
+    std::erase_if(m_upstreams, [&](const auto& entry) { return !names.contains(entry.first) && !entry.second.counts.load(); });
     return tick(now);
 }
 
@@ -119,14 +123,19 @@
     if (!plan)
         return PlaceRefuse { waiter.ask.id, RefusalReason::NoUpstream, retryFloor.count() };
     double best = std::numeric_limits<double>::max();
+    double bestStart = best;
     for (const auto& [name, state] : m_upstreams) {
         const bool isUsableNow = isUsable(state, waiter, *plan, plan->stable) || isUsable(state, waiter, *plan, plan->candidate);
-        if (isUsableNow)
-            best = std::min(best, serviceSeconds(state, waiter.ask));
+        if (!isUsableNow)
+            continue;
+        best = std::min(best, serviceSeconds(state, waiter.ask));
+        bestStart = std::min(bestStart, firstTokenSeconds(state, waiter.ask, now));
     }
     if (best == std::numeric_limits<double>::max())
         return PlaceRefuse { waiter.ask.id, RefusalReason::NoUpstream, retryFloor.count() };
-    if (now + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double>(best)) <= waiter.deadline)
+    const auto toTime = [](double seconds) { return std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double>(seconds)); };
+    const bool isStartPossible = !waiter.ask.startMs || now + toTime(bestStart) <= waiter.arrived + Duration(waiter.ask.startMs);
+    if (isStartPossible && now + toTime(best) <= waiter.deadline)
         return std::nullopt;
     const auto retry = std::clamp(estimatedWait(waiter.ask.rank, now), retryFloor, retryCeiling);
     return PlaceRefuse { waiter.ask.id, RefusalReason::DeadlineTooShort, retry.count() };
@@ -145,8 +154,8 @@
 // Prompts are read in the order of their dispatch, whoever dispatched them.
 double PoolScheduler::firstTokenSeconds(const UpstreamState& state, const PlaceAsk& ask, TimePoint now) const
 {
-    const double peersBacklog = std::max(0.0, state.peers.backlogSeconds - toSeconds(now - state.peersTold));
-    return state.speed.backlogSeconds(now) + peersBacklog + state.speed.prefillSeconds(uncachedTokens(state, ask));
+    const double backlog = std::max(state.speed.backlogSeconds(now), toSeconds(state.backlogUntil - now));
+    return backlog + state.speed.prefillSeconds(uncachedTokens(state, ask));
 }
 
 // The expected time of the whole answer, with a term that keeps one upstream from taking all, and one for a late start.
@@ -155,7 +164,8 @@
     const double first = firstTokenSeconds(state, ask, now);
     const bool isLate = ask.targetMs > 0 && first * millisecondsPerSecond > targetUse * ask.targetMs;
     const double load = loadSpreadSeconds * (state.load() + 1) / std::max(1, state.limit.value(now));
-    return first + state.speed.decodeSeconds(ask.outputTokens) + load + (isLate ? lateSeconds : 0) + (isNear(state) ? 0 : otherDataCentreSeconds);
+    const double reading = readingWeight * state.speed.prefillSeconds(uncachedTokens(state, ask));
+    return first + reading + state.speed.decodeSeconds(ask.outputTokens) + load + (isLate ? lateSeconds : 0) + (isNear(state) ? 0 : otherDataCentreSeconds);
 }
 
 bool PoolScheduler::isUsable(const UpstreamState& state, const Waiter& waiter, const VersionPlan& plan, const std::string& version) const
@@ -191,6 +201,16 @@
     return reserve >= 1 && static_cast<double>(m_places.size()) + reserve >= places;
 }
 
+double PoolScheduler::fastestService(const Waiter& waiter, const VersionPlan& plan, const std::string& version) const
+{
+    double fastest = std::numeric_limits<double>::max();
+    for (const auto& [name, state] : m_upstreams) {
+        if (isUsable(state, waiter, plan, version))
+            fastest = std::min(fastest, serviceSeconds(state, waiter.ask));
+    }
+    return fastest;
+}
+
 PoolScheduler::UpstreamState* PoolScheduler::bestOf(
     const Waiter& waiter, const VersionPlan& plan, const std::string& version, TimePoint now)
 {
@@ -199,11 +219,13 @@
     UpstreamState* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     const double secondsLeft = toSeconds(waiter.deadline - now);
+    const double fastest = fastestService(waiter, plan, version);
     for (auto& [name, state] : m_upstreams) {
         if (!isUsable(state, waiter, plan, version) || !hasRoom(state, now))
             continue;
         const double service = serviceSeconds(state, waiter.ask);
-        if (service > secondsLeft)
+        const bool isAmongFastest = service <= nearFastest * fastest;
+        if (service > secondsLeft || (lengthMargin * service > secondsLeft && !isAmongFastest))
             continue;
         const double cost = placeCost(state, waiter.ask, now);
         const bool isBetter = cost < bestCost || (cost == bestCost && state.lastGrant < best->lastGrant);
@@ -284,7 +306,7 @@
 {
     const auto state = m_upstreams.find(place.upstream);
     if (state != m_upstreams.end())
-        ++state->second.inFlight;
+        state->second.counts.addPlace(place.node);
     const PlaceKey key { place.node, place.ask.id };
     m_places.emplace(key, std::move(place));
     notePeak();
@@ -293,9 +315,8 @@
 void PoolScheduler::freePlace(const Place& place)
 {
     const auto state = m_upstreams.find(place.upstream);
-    if (state == m_upstreams.end())
-        return;
-    --state->second.inFlight;
+    if (state != m_upstreams.end())
+        state->second.counts.removePlace(place.node);
 }
 
 void PoolScheduler::cancel(const std::string& node, uint64_t askId)
@@ -303,6 +324,11 @@
     m_waiting.removeIf([&](const Waiter& waiter) { return waiter.node == node && waiter.ask.id == askId; });
 }
 
+bool PoolScheduler::knows(const std::string& node, uint64_t askId) const
+{
+    return m_places.contains({ node, askId }) || m_waiting.contains(node, askId);
+}
+
 PlaceDecisions PoolScheduler::done(const std::string& node, const PlaceDone& done, TimePoint now, std::optional<Place>* ended)
 {
     const auto found = m_places.find({ node, done.id });
@@ -326,7 +352,7 @@
     }
     if (done.outcome != DispatchOutcome::Completed)
         return;
-    state.limit.onSample(Duration(done.firstTokenMs), std::chrono::microseconds(done.betweenTokensUs), state.inFlight, now);
+    state.limit.onSample(Duration(done.firstTokenMs), std::chrono::microseconds(done.betweenTokensUs), state.counts.places(), now);
     state.speed.onAnswer(done.betweenTokensUs / millisecondsPerSecond);
 }
 
@@ -348,6 +374,8 @@
         freePlace(place->second);
         place = m_places.erase(place);
     }
+    for (auto& [name, state] : m_upstreams)
+        state.counts.forgetReport(node);
     return grantWaiting(now);
 }
 
@@ -365,12 +393,12 @@
     }
     // A report describes the past, so it is compared with what was in flight then.
     const auto measured = now - report.age;
-    int inFlightThen = state.inFlight;
+    int inFlightThen = state.counts.places();
     for (const auto& [time, count] : state.inFlightHistory) {
         if (time <= measured)
             inFlightThen = count;
     }
-    state.foreign = std::max(0, report.running + report.waiting - std::max(inFlightThen, state.inFlight) - foreignTolerance);
+    state.foreign = std::max(0, report.running + report.waiting - std::max(inFlightThen, state.counts.places()) - foreignTolerance);
 }
 
 void PoolScheduler::cacheEvent(const std::string& upstream, int64_t sequence, bool isStored, uint64_t prefix)
@@ -385,23 +413,49 @@
     return found == m_upstreams.end() ? 1 : found->second.prefixes.nextEvent();
 }
 
-PlaceDecisions PoolScheduler::setPeerLoads(const std::map<std::string, PeerLoad>& loads, TimePoint now)
+PlaceDecisions PoolScheduler::setNodeLoads(const std::string& node, const std::map<std::string, NodeLoad>& loads, TimePoint now)
 {
     for (auto& [name, state] : m_upstreams) {
         const auto found = loads.find(name);
-        state.peers = found == loads.end() ? PeerLoad {} : found->second;
-        state.peersTold = now;
-        state.speed.onSuggestion(state.peers.betweenTokensMs);
+        const auto load = found == loads.end() ? NodeLoad {} : found->second;
+        state.counts.setReported(node, load.running);
+        const auto backlog = std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double>(load.backlogSeconds));
+        state.backlogUntil = std::max(state.backlogUntil, now + backlog);
+        state.speed.onSuggestion(load.betweenTokensMs);
     }
+    freeUnusedPlaces(node, now);
     return grantWaiting(now);
 }
 
-std::map<std::string, PeerLoad> PoolScheduler::ownLoads(TimePoint now) const
+void PoolScheduler::setReported(const std::string& node, const std::string& upstream, int running)
+{
+    if (const auto found = m_upstreams.find(upstream); found != m_upstreams.end())
+        found->second.counts.setReported(node, running);
+}
+
+// The end of a dispatch may not have been heard of, or its grant may never have arrived.
+void PoolScheduler::freeUnusedPlaces(const std::string& node, TimePoint now)
+{
+    std::map<std::string, int> held;
+    for (auto place = m_places.lower_bound({ node, 0 }); place != m_places.end() && place->first.first == node;) {
+        const auto state = m_upstreams.find(place->second.upstream);
+        const int reported = state == m_upstreams.end() ? 0 : state->second.counts.reported(node);
+        const bool isUnused = now - place->second.granted > unusedPlaceAge && ++held[place->second.upstream] > reported;
+        if (!isUnused) {
+            ++place;
+            continue;
+        }
+        freePlace(place->second);
+        place = m_places.erase(place);
+    }
+}
+
+std::map<std::string, NodeLoad> PoolScheduler::learned(TimePoint now) const
 {
-    std::map<std::string, PeerLoad> result;
+    std::map<std::string, NodeLoad> result;
     for (const auto& [name, state] : m_upstreams) {
-        const PeerLoad load { state.inFlight, state.speed.backlogSeconds(now), state.speed.learned().value_or(0) };
-        if (load != PeerLoad {})
+        const NodeLoad load { 0, state.speed.backlogSeconds(now), state.speed.learned().value_or(0) };
+        if (load != NodeLoad {})
             result[name] = load;
     }
     return result;
@@ -445,7 +499,7 @@
     }
     m_topPeak = std::max<double>(m_topPeak * peakDecayPerTick, topInFlight());
     for (auto& [name, state] : m_upstreams) {
-        state.inFlightHistory.emplace_back(now, state.inFlight);
+        state.inFlightHistory.emplace_back(now, state.counts.places());
         while (state.inFlightHistory.front().first < now - historySpan)
             state.inFlightHistory.pop_front();
     }
@@ -466,14 +520,14 @@
 int PoolScheduler::inFlight(const std::string& upstream) const
 {
     const auto found = m_upstreams.find(upstream);
-    return found == m_upstreams.end() ? 0 : found->second.inFlight;
+    return found == m_upstreams.end() ? 0 : found->second.counts.places();
 }
 
 std::vector<UpstreamSummary> PoolScheduler::summaries(TimePoint now) const
 {
     std::vector<UpstreamSummary> result;
     for (const auto& [name, state] : m_upstreams)
-        result.push_back({ name, state.version, state.inFlight, state.limit.value(now), state.speed.betweenTokensMs() });
+        result.push_back({ name, state.version, state.counts.places(), state.limit.value(now), state.speed.betweenTokensMs() });
     return result;
 }
 
