--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -54,6 +54,7 @@
     std::function<int()> nodes; /**< How many nodes share the upstreams. */
     /** @return nothing when the tokens were taken, else why not. */
     std::function<std::optional<QuotaRefusal>(const GatewayOrganisation&, int tokens)> takeQuota;
+    std::map<std::string, Duration> longestPatience {}; /**< That a caller has shown, by route. */
     bool isDraining = false;
     int activeRequests = 0;
 
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -21,6 +21,7 @@
     asio::ip::tcp::endpoint peers; /**< For datagrams and for state that a peer fetches; metrics are served here too. */
     std::vector<std::string> seeds; /**< Peer addresses. */
     GatewayBounds bounds;
+    bool isFirstStart = false; /**< Of the whole system, so that nothing can have been forgotten. */
     int logLinesPerSecond = 400;
 
     bool operator==(const GatewayOptions&) const = default;
@@ -86,6 +87,7 @@
     Task<void> fetchState();
     NodeReport makeReport(bool withPeers);
     std::string homeOf(const std::string& pool) const;
+    Duration memory() const;
     void send(const std::string& address, const Message&);
     std::optional<QuotaRefusal> takeQuota(const GatewayOrganisation&, int tokens);
     void run(const char* name, Task<void>);
@@ -105,6 +107,7 @@
     std::unique_ptr<DatagramSocket> m_datagrams;
     std::map<std::string, QuotaAccount> m_quotas;
     int64_t m_directoryOffset = -1;
+    TimePoint m_started {};
     int64_t m_incarnation = 0;
     uint64_t m_sequence = 0;
     bool m_isStopping = false;
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -61,6 +61,12 @@
     /** @return the live peer that has read most of the directory, if more than this, or null. */
     const NodeReport* newestDirectory(int64_t than, std::string& address) const;
 
+    /**
+     * @return the part of what was admitted within a window that no node remembers, 0 to 1.
+     * @param ownMemory for how long this node remembers.
+     */
+    double forgottenShare(Duration window, Duration ownMemory, TimePoint now) const;
+
     /** @return tokens that peers have admitted for an organisation since they were first heard. */
     int64_t usage(const std::string& organisation) const;
 
--- a/libs/gateway/include/gateway/QuotaAccount.h
+++ b/libs/gateway/include/gateway/QuotaAccount.h
@@ -16,6 +16,14 @@
     bool operator==(const QuotaBounds&) const = default;
 };
 
+/** What a node can't see of the use of a quota. */
+struct QuotaBlindness {
+    double silentShare = 0; /**< Part of the nodes that are silent and may go on admitting, 0 to 1. */
+    double forgottenShare = 0; /**< Part of the window that nobody remembers after restarts, 0 to 1. */
+
+    bool operator==(const QuotaBlindness&) const = default;
+};
+
 /** Why a request does not fit into a quota, and when it may. */
 struct QuotaRefusal {
     Duration wait { 0 };
@@ -40,25 +48,28 @@
     /**
      * Takes tokens for one request.
      * @param peerTokens that peers have admitted in all.
-     * @param silentShare part of the allowance that may be in use where it can't be seen, 0 to 1.
      * @return false if the quota is used up; nothing is taken then.
      */
-    bool take(const TokenQuota&, int tokens, int64_t peerTokens, double silentShare, TimePoint now);
+    bool take(const TokenQuota&, int tokens, int64_t peerTokens, const QuotaBlindness&, TimePoint now);
 
     /** @return why a request of that size does not fit now. */
-    QuotaRefusal refusal(const TokenQuota&, int tokens, double silentShare, TimePoint now) const;
+    QuotaRefusal refusal(const TokenQuota&, int tokens, const QuotaBlindness&, TimePoint now) const;
 
     /** @return tokens admitted by this node. */
     int64_t ownTokens() const { return m_ownTokens; }
 
+    /** @return tokens admitted by this node in the window. */
+    int64_t recentOwnTokens(TimePoint now) const;
+
 private:
     struct Use {
         TimePoint time;
         int64_t tokens = 0;
+        bool isOwn = false;
     };
 
-    void note(int64_t tokens, TimePoint now);
-    double allowance(const TokenQuota&, double silentShare) const;
+    void note(int64_t tokens, bool isOwn, TimePoint now);
+    double allowance(const TokenQuota&, const QuotaBlindness&) const;
 
     QuotaBounds m_bounds;
     std::deque<Use> m_uses;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -56,6 +56,7 @@
         {}, [this] { return m_peers.knownNodes(); },
         [this](const GatewayOrganisation& organisation, int tokens) { return takeQuota(organisation, tokens); } }
     , m_peers(m_options.peers.address().to_string() + ":" + std::to_string(m_options.peers.port()), {})
+    , m_started(monotonicNow())
     , m_incarnation(unixMs())
 {
     for (const auto& seed : m_options.seeds)
@@ -196,6 +197,7 @@
 
 NodeReport GatewayNode::makeReport(bool withPeers)
 {
+    const auto now = monotonicNow();
     NodeReport report;
     report.node = m_options.node;
     report.dataCentre = m_options.dataCentre;
@@ -207,7 +209,8 @@
     report.directoryOffset = m_directoryOffset;
     report.loads = m_places.loads();
     for (const auto& [organisation, account] : m_quotas)
-        report.usage.push_back({ organisation, account.ownTokens() });
+        report.usage.push_back({ organisation, account.ownTokens(), account.recentOwnTokens(now) });
+    report.memoryMs = memory().count();
     if (withPeers) {
         report.peers = m_peers.live();
         if (report.peers.size() > peersNamed)
@@ -227,6 +230,7 @@
         auto comparable = report;
         comparable.sequence = last.sequence;
         comparable.peers = last.peers;
+        comparable.memoryMs = last.memoryMs;
         const bool isDue = withPeers || comparable != last || ++quiet >= idleReportFactor;
         if (isDue) {
             quiet = 0;
@@ -292,15 +296,22 @@
     }
 }
 
+Duration GatewayNode::memory() const
+{
+    const auto running = std::chrono::duration_cast<Duration>(monotonicNow() - m_started);
+    return m_options.isFirstStart ? running + m_options.bounds.quotas.window : running;
+}
+
 std::optional<QuotaRefusal> GatewayNode::takeQuota(const GatewayOrganisation& organisation, int tokens)
 {
     const auto now = monotonicNow();
     auto& account = m_quotas.try_emplace(organisation.name, m_options.bounds.quotas).first->second;
     const double known = m_peers.knownNodes();
-    const double silent = (known - m_peers.nodes()) / known;
-    if (account.take(organisation.quota, tokens, m_peers.usage(organisation.name), silent, now))
+    const QuotaBlindness blindness { (known - m_peers.nodes()) / known,
+        m_peers.forgottenShare(m_options.bounds.quotas.window, memory(), now) };
+    if (account.take(organisation.quota, tokens, m_peers.usage(organisation.name), blindness, now))
         return std::nullopt;
-    return account.refusal(organisation.quota, tokens, silent, now);
+    return account.refusal(organisation.quota, tokens, blindness, now);
 }
 
 Task<void> GatewayNode::drain()
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -40,7 +40,7 @@
     return isNewlyLive;
 }
 
-// Counts what was admitted since the last report; the first report of a peer sets only the mark.
+// Counts what was admitted since the last report; of the first report of a peer, what is recent.
 void PeerView::countUsage(Peer& peer, const NodeReport& report, bool isSameStart)
 {
     for (const auto& item : report.usage) {
@@ -50,7 +50,7 @@
         if (isSameStart && before != peer.report.usage.end())
             last = before->tokens;
         else if (!peer.wasHeard)
-            last = item.tokens;
+            last = item.tokens - item.recent;
         peer.usage[item.organisation] += std::max<int64_t>(0, item.tokens - last);
     }
 }
@@ -142,6 +142,20 @@
     return best;
 }
 
+double PeerView::forgottenShare(Duration window, Duration ownMemory, TimePoint now) const
+{
+    const auto missing = [&](Duration memory) { return std::max(0.0, 1 - toSeconds(memory) / toSeconds(window)); };
+    double sum = missing(ownMemory);
+    int nodes = 1;
+    for (const auto& [address, peer] : m_peers) {
+        if (!peer.isLive)
+            continue;
+        ++nodes;
+        sum += missing(Duration(peer.report.memoryMs) + std::chrono::duration_cast<Duration>(now - peer.heard));
+    }
+    return sum / nodes;
+}
+
 int64_t PeerView::usage(const std::string& organisation) const
 {
     const auto forgotten = m_forgottenUsage.find(organisation);
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-void QuotaAccount::note(int64_t tokens, TimePoint now)
+void QuotaAccount::note(int64_t tokens, bool isOwn, TimePoint now)
 {
     while (!m_uses.empty() && m_uses.front().time <= now - m_bounds.window) {
         m_used -= m_uses.front().tokens;
@@ -23,30 +23,31 @@
     if (tokens <= 0)
         return;
     m_used += tokens;
-    m_uses.push_back({ now, tokens });
+    m_uses.push_back({ now, tokens, isOwn });
 }
 
-double QuotaAccount::allowance(const TokenQuota& quota, double silentShare) const
+double QuotaAccount::allowance(const TokenQuota& quota, const QuotaBlindness& blindness) const
 {
     const double nominal = quota.ratePerSecond * toSeconds(m_bounds.window) + quota.burst;
     const double tolerated = nominal * m_bounds.overshoot + m_bounds.slack;
-    return (nominal + usedTolerance * tolerated) * (1 - std::clamp(silentShare, 0.0, 1.0));
+    const double forgotten = quota.ratePerSecond * toSeconds(m_bounds.window) * std::clamp(blindness.forgottenShare, 0.0, 1.0);
+    return (nominal + usedTolerance * tolerated) * (1 - std::clamp(blindness.silentShare, 0.0, 1.0)) - forgotten;
 }
 
-bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, double silentShare, TimePoint now)
+bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, const QuotaBlindness& blindness, TimePoint now)
 {
-    note(peerTokens - m_peerTokens, now);
+    note(peerTokens - m_peerTokens, false, now);
     m_peerTokens = peerTokens;
-    if (static_cast<double>(m_used + tokens) > allowance(quota, silentShare))
+    if (static_cast<double>(m_used + tokens) > allowance(quota, blindness))
         return false;
-    note(tokens, now);
+    note(tokens, true, now);
     m_ownTokens += tokens;
     return true;
 }
 
-QuotaRefusal QuotaAccount::refusal(const TokenQuota& quota, int tokens, double silentShare, TimePoint now) const
+QuotaRefusal QuotaAccount::refusal(const TokenQuota& quota, int tokens, const QuotaBlindness& blindness, TimePoint now) const
 {
-    const double allowed = allowance(quota, silentShare);
+    const double allowed = allowance(quota, blindness);
     QuotaRefusal result { m_bounds.window, m_used, static_cast<int64_t>(allowed) };
     double excess = static_cast<double>(m_used + tokens) - allowed;
     for (const auto& use : m_uses) {
@@ -59,4 +60,14 @@
     return result;
 }
 
+int64_t QuotaAccount::recentOwnTokens(TimePoint now) const
+{
+    int64_t tokens = 0;
+    for (const auto& use : m_uses) {
+        if (use.isOwn && use.time > now - m_bounds.window)
+            tokens += use.tokens;
+    }
+    return tokens;
+}
+
 } // namespace bronzeswitch
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -166,10 +166,10 @@
     ask.pool = m_service;
     ask.route = m_route->name;
     ask.organisation = m_organisation ? m_organisation->name : "";
-    ask.rank = m_organisation && m_organisation->rank ? *m_organisation->rank : m_route->rank;
+    ask.rank = rank();
     ask.promptTokens = m_head.promptTokens.value_or(0);
     ask.outputTokens = m_head.expectedTokens.value_or(m_head.outputTokens);
-    ask.targetMs = m_route->kind == RequestKind::Stream ? m_route->targetLatency.count() : 0;
+    ask.targetMs = m_route->kind == RequestKind::Stream ? std::max(Duration(1), m_route->targetLatency - callerAge()).count() : 0;
     ask.startMs = m_route->kind == RequestKind::Stream ? left(m_silenceDeadline).count() : 0;
     ask.prefixes = m_head.prefixes;
     ask.excluded = m_excluded;
@@ -256,6 +256,18 @@
     co_return outcome;
 }
 
+int RequestTask::rank() const { return m_organisation && m_organisation->rank ? *m_organisation->rank : m_route->rank; }
+
+// A caller that comes back after a refusal has less patience left than the route's callers have at first.
+Duration RequestTask::callerAge()
+{
+    if (!m_head.patience)
+        return Duration(0);
+    auto& longest = m_context.longestPatience[m_route->name];
+    longest = std::max(longest, *m_head.patience);
+    return longest - *m_head.patience;
+}
+
 OutgoingRequest RequestTask::makeRequest(const Dispatch& current) const
 {
     const DispatchHead head { current.upstream.id, left(m_deadline), m_organisation ? m_organisation->name : "", m_stream.lastEventId() };
@@ -487,6 +499,7 @@
     if (m_route) {
         fields["route"] = m_route->name;
         fields["kind"] = nameOf(m_route->kind);
+        fields["rank"] = rank();
     }
     if (m_organisation)
         fields["organisation"] = m_organisation->name;
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -69,6 +69,8 @@
     Task<bool> sendWhole(const AnswerHead&, const std::string& body);
     void onCallerLeft();
     Duration left(TimePoint until) const;
+    int rank() const;
+    Duration callerAge();
     bool isKeepAlive() const;
     Duration idleTimeout() const;
     void logDispatch(const Dispatch&, Outcome) const;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -87,7 +87,7 @@
 };
 
 /** Why a place was refused. */
-enum class RefusalReason { QueueFull, Evicted, DeadlineTooShort, NoUpstream, NotHome, Draining };
+enum class RefusalReason { QueueFull, Evicted, DeadlineTooShort, NoUpstream, NotHome, Draining, Overloaded };
 
 /** Refuses a place; nothing was dispatched. */
 struct PlaceRefuse {
@@ -212,6 +212,7 @@
 struct OrganisationUsage {
     std::string organisation;
     int64_t tokens = 0;
+    int64_t recent = 0; /**< Of these, in the time over which quotas are held. */
 
     bool operator==(const OrganisationUsage&) const = default;
 };
@@ -229,6 +230,7 @@
     std::vector<UpstreamLoad> loads;
     std::vector<OrganisationUsage> usage;
     std::vector<std::string> peers; /**< Addresses of peers that the sender hears. */
+    int64_t memoryMs = 0; /**< For how long the sender remembers what was admitted; short after its restart. */
 
     bool operator==(const NodeReport&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -43,10 +43,10 @@
     else if constexpr (std::is_same_v<Type, UpstreamLoad>)
         return std::tie(message.upstream, message.running, message.backlogMs, message.betweenTokensUs);
     else if constexpr (std::is_same_v<Type, OrganisationUsage>)
-        return std::tie(message.organisation, message.tokens);
+        return std::tie(message.organisation, message.tokens, message.recent);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers);
+            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers, message.memoryMs);
     else if constexpr (std::is_same_v<Type, ClaimAsk>)
         return std::tie(message.id, message.key, message.attempt, message.mode);
     else if constexpr (std::is_same_v<Type, ClaimAnswer>)
@@ -114,7 +114,7 @@
 template <typename Enum> constexpr int enumSize()
 {
     if constexpr (std::is_same_v<Enum, RefusalReason>)
-        return static_cast<int>(RefusalReason::Draining) + 1;
+        return static_cast<int>(RefusalReason::Overloaded) + 1;
     else if constexpr (std::is_same_v<Enum, DispatchOutcome>)
         return static_cast<int>(DispatchOutcome::Cancelled) + 1;
     else if constexpr (std::is_same_v<Enum, ClaimMode>)
@@ -228,7 +228,7 @@
 
 const char* toString(RefusalReason reason)
 {
-    static constexpr std::array names { "queue-full", "evicted", "deadline-too-short", "no-upstream", "not-home", "draining" };
+    static constexpr std::array names { "queue-full", "evicted", "deadline-too-short", "no-upstream", "not-home", "draining", "overloaded" };
     return names[static_cast<size_t>(reason)];
 }
 
--- a/libs/sched/include/sched/WaitingQueue.h
+++ b/libs/sched/include/sched/WaitingQueue.h
@@ -12,6 +12,9 @@
 
 namespace bronzeswitch {
 
+/** @return how much work an ask is, in output tokens. */
+double workOf(const PlaceAsk&);
+
 /** An ask that waits for a place. */
 struct Waiter {
     std::string node;
--- a/libs/sched/include/sched/WaitingRoom.h
+++ b/libs/sched/include/sched/WaitingRoom.h
@@ -5,12 +5,12 @@
 namespace bronzeswitch {
 
 /**
- * All waiting asks of one pool, sorted by what waiting still changes for them.
+ * All waiting asks of one pool, by rank, and within a rank by what waiting still changes for them.
  *
  * Answers the time after a burst: a queue in order of arrival would make every request late until the whole backlog has
- * drained. Asks that can still start in time go first. Those whose target has passed lose nothing by waiting longer, so they
- * take what is left over, until half of their time is gone: then they go before all others, so that a higher rank is never
- * shed while lower ones are served.
+ * drained. Asks that can still start in time go first; those whose target has passed lose nothing by waiting longer and take
+ * what is left of their rank. A higher rank goes before a lower one, but a lower rank is left a small share of the work, so
+ * that short requests are not starved by long ones.
  *
  *     WaitingRoom room(weightOf);
  *     room.push(waiter);
@@ -19,11 +19,13 @@
  */
 class WaitingRoom {
 public:
-    explicit WaitingRoom(const std::function<double(const std::string&)>& weightOf);
+    using WeightOf = std::function<double(const std::string&)>;
+
+    explicit WaitingRoom(WeightOf);
 
     void push(Waiter);
 
-    /** Moves waiters whose target or half of whose time has passed. */
+    /** Moves waiters whose target has passed and lets old work count less. */
     void sort(TimePoint now);
 
     /** Offers waiters in order; see WaitingQueue. */
@@ -33,14 +35,32 @@
     std::optional<Waiter> popWorst();
 
     std::vector<Waiter> removeIf(const std::function<bool(const Waiter&)>& matches);
+
+    /** Removes the late waiters that match. */
+    std::vector<Waiter> removeLateIf(const std::function<bool(const Waiter&)>& matches);
+
     bool contains(const std::string& node, uint64_t askId) const;
     int64_t tokensUpTo(int rank) const;
     std::size_t size() const;
 
 private:
-    WaitingQueue m_overdue;
-    WaitingQueue m_inTime;
-    WaitingQueue m_late;
+    struct Rank {
+        explicit Rank(const WeightOf& weightOf)
+            : inTime(weightOf)
+            , late(weightOf)
+        {
+        }
+        WaitingQueue inTime;
+        WaitingQueue late;
+        double work = 0; /**< Granted lately. */
+    };
+
+    std::vector<int> starvedRanks() const;
+    void drainQueue(Rank&, WaitingQueue&, const std::function<WaitingQueue::Offer(const Waiter&)>& visit);
+
+    WeightOf m_weightOf;
+    std::map<int, Rank> m_ranks;
+    TimePoint m_sorted {};
 };
 
 } // namespace bronzeswitch
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <base/Hash.h>
 #include <limits>
 #include <sched/PoolScheduler.h>
 
@@ -24,6 +25,21 @@
 constexpr Duration retryFloor { 200 };
 constexpr Duration retryCeiling { 30000 };
 
+// A late ask that has waited for half of its caller's patience is better told to come back after the burst.
+bool mayStartElsewhere(const Waiter& waiter, TimePoint now)
+{
+    constexpr int patienceParts = 2;
+    return waiter.ask.startMs > 0 && now - waiter.arrived > Duration(waiter.ask.startMs / patienceParts);
+}
+
+// Spread, so that the callers of a burst do not come back together.
+int64_t comeBackMs(const Waiter& waiter)
+{
+    constexpr int64_t soonestMs = 1000;
+    constexpr uint64_t spreadMs = 3000;
+    return soonestMs + static_cast<int64_t>(stableHash(waiter.node, waiter.ask.id) % spreadMs);
+}
+
 } // namespace
 
 PoolScheduler::PoolScheduler(TimePoint settleUntil)
@@ -489,6 +505,8 @@
     PlaceDecisions decisions;
     for (const auto& waiter : m_waiting.removeIf([&](const Waiter& item) { return hopeless(item, now).has_value(); }))
         decisions.push_back({ waiter.node, *hopeless(waiter, now) });
+    for (const auto& waiter : m_waiting.removeLateIf([&](const Waiter& item) { return mayStartElsewhere(item, now); }))
+        decisions.push_back({ waiter.node, PlaceRefuse { waiter.ask.id, RefusalReason::Overloaded, comeBackMs(waiter) } });
     for (auto place = m_places.begin(); place != m_places.end();) {
         if (place->second.expires > now) {
             ++place;
--- a/libs/sched/src/WaitingQueue.cpp
+++ b/libs/sched/src/WaitingQueue.cpp
@@ -4,8 +4,6 @@
 
 namespace bronzeswitch {
 
-namespace {
-
 double workOf(const PlaceAsk& ask)
 {
     // Decoding dominates the time of a place; a prompt token costs a small part of an output token.
@@ -13,8 +11,6 @@
     return 1 + ask.outputTokens + promptTokenWork * ask.promptTokens;
 }
 
-} // namespace
-
 void WaitingQueue::push(Waiter waiter)
 {
     auto& rank = m_ranks[waiter.ask.rank];
--- a/libs/sched/src/WaitingRoom.cpp
+++ b/libs/sched/src/WaitingRoom.cpp
@@ -1,61 +1,104 @@
-#include <array>
+#include <cmath>
 #include <sched/WaitingRoom.h>
 
 namespace bronzeswitch {
 
 namespace {
 
+constexpr double starvedShare = 0.1; // Of the work, which each rank with waiting asks gets before higher ones.
+constexpr double workMemorySeconds = 1;
+
 bool isLate(const Waiter& waiter, TimePoint now)
 {
-    return waiter.ask.targetMs > 0 && now > waiter.arrived + Duration(waiter.ask.targetMs);
+    return waiter.ask.targetMs > 0 && now >= waiter.arrived + Duration(waiter.ask.targetMs);
 }
 
-bool isHalfOver(const Waiter& waiter, TimePoint now) { return now - waiter.arrived > waiter.deadline - now; }
-
 } // namespace
 
-WaitingRoom::WaitingRoom(const std::function<double(const std::string&)>& weightOf)
-    : m_overdue(weightOf)
-    , m_inTime(weightOf)
-    , m_late(weightOf)
+WaitingRoom::WaitingRoom(WeightOf weightOf)
+    : m_weightOf(std::move(weightOf))
 {
 }
 
-void WaitingRoom::push(Waiter waiter) { m_inTime.push(std::move(waiter)); }
+void WaitingRoom::push(Waiter waiter)
+{
+    auto& rank = m_ranks.try_emplace(waiter.ask.rank, m_weightOf).first->second;
+    rank.inTime.push(std::move(waiter));
+}
 
 void WaitingRoom::sort(TimePoint now)
 {
-    for (auto& waiter : m_inTime.removeIf([&](const Waiter& item) { return isLate(item, now); }))
-        m_late.push(std::move(waiter));
-    for (auto& waiter : m_late.removeIf([&](const Waiter& item) { return isHalfOver(item, now); }))
-        m_overdue.push(std::move(waiter));
+    const double kept = std::exp(-toSeconds(now - m_sorted) / workMemorySeconds);
+    m_sorted = now;
+    for (auto& [number, rank] : m_ranks) {
+        rank.work *= kept;
+        for (auto& waiter : rank.inTime.removeIf([&](const Waiter& item) { return isLate(item, now); }))
+            rank.late.push(std::move(waiter));
+    }
+}
+
+std::vector<int> WaitingRoom::starvedRanks() const
+{
+    double total = 0;
+    for (const auto& [number, rank] : m_ranks)
+        total += rank.work;
+    std::vector<int> starved;
+    for (const auto& [number, rank] : m_ranks) {
+        if (rank.inTime.size() && rank.work < starvedShare * total)
+            starved.push_back(number);
+    }
+    return starved;
+}
+
+void WaitingRoom::drainQueue(Rank& rank, WaitingQueue& queue, const std::function<WaitingQueue::Offer(const Waiter&)>& visit)
+{
+    queue.drain([&](const Waiter& waiter) {
+        const auto offer = visit(waiter);
+        if (offer == WaitingQueue::Offer::Take)
+            rank.work += workOf(waiter.ask);
+        return offer;
+    });
 }
 
 void WaitingRoom::drain(const std::function<WaitingQueue::Offer(const Waiter&)>& visit)
 {
-    for (auto* queue : { &m_overdue, &m_inTime, &m_late })
-        queue->drain(visit);
+    for (const int number : starvedRanks()) {
+        auto& rank = m_ranks.at(number);
+        drainQueue(rank, rank.inTime, visit);
+    }
+    for (auto& [number, rank] : m_ranks) {
+        drainQueue(rank, rank.inTime, visit);
+        drainQueue(rank, rank.late, visit);
+    }
 }
 
 std::optional<Waiter> WaitingRoom::popWorst()
 {
-    WaitingQueue* chosen = nullptr;
-    int lowest = 0;
-    for (auto* queue : { &m_late, &m_inTime, &m_overdue }) {
-        const auto worst = queue->worst();
-        if (!worst || (chosen && worst->ask.rank <= lowest))
-            continue;
-        chosen = queue;
-        lowest = worst->ask.rank;
+    for (auto entry = m_ranks.rbegin(); entry != m_ranks.rend(); ++entry) {
+        auto& rank = entry->second;
+        if (rank.late.size())
+            return rank.late.popWorst();
+        if (rank.inTime.size())
+            return rank.inTime.popWorst();
     }
-    return chosen ? chosen->popWorst() : std::nullopt;
+    return std::nullopt;
 }
 
 std::vector<Waiter> WaitingRoom::removeIf(const std::function<bool(const Waiter&)>& matches)
+{
+    auto removed = removeLateIf(matches);
+    for (auto& [number, rank] : m_ranks) {
+        for (auto& waiter : rank.inTime.removeIf(matches))
+            removed.push_back(std::move(waiter));
+    }
+    return removed;
+}
+
+std::vector<Waiter> WaitingRoom::removeLateIf(const std::function<bool(const Waiter&)>& matches)
 {
     std::vector<Waiter> removed;
-    for (auto* queue : { &m_overdue, &m_inTime, &m_late }) {
-        for (auto& waiter : queue->removeIf(matches))
+    for (auto& [number, rank] : m_ranks) {
+        for (auto& waiter : rank.late.removeIf(matches))
             removed.push_back(std::move(waiter));
     }
     return removed;
@@ -63,11 +106,27 @@
 
 bool WaitingRoom::contains(const std::string& node, uint64_t askId) const
 {
-    return m_overdue.contains(node, askId) || m_inTime.contains(node, askId) || m_late.contains(node, askId);
+    for (const auto& [number, rank] : m_ranks) {
+        if (rank.inTime.contains(node, askId) || rank.late.contains(node, askId))
+            return true;
+    }
+    return false;
 }
 
-int64_t WaitingRoom::tokensUpTo(int rank) const { return m_overdue.tokensUpTo(rank) + m_inTime.tokensUpTo(rank) + m_late.tokensUpTo(rank); }
+int64_t WaitingRoom::tokensUpTo(int highest) const
+{
+    int64_t tokens = 0;
+    for (const auto& [number, rank] : m_ranks)
+        tokens += rank.inTime.tokensUpTo(highest) + rank.late.tokensUpTo(highest);
+    return tokens;
+}
 
-std::size_t WaitingRoom::size() const { return m_overdue.size() + m_inTime.size() + m_late.size(); }
+std::size_t WaitingRoom::size() const
+{
+    std::size_t count = 0;
+    for (const auto& [number, rank] : m_ranks)
+        count += rank.inTime.size() + rank.late.size();
+    return count;
+}
 
 } // namespace bronzeswitch
