--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -256,7 +256,13 @@
     co_return outcome;
 }
 
-int RequestTask::rank() const { return m_organisation && m_organisation->rank ? *m_organisation->rank : m_route->rank; }
+// The organisation's rank goes first; requests of equal organisations keep the order of their routes.
+int RequestTask::rank() const
+{
+    constexpr int ranksOfRoutes = 16;
+    const int routeRank = std::clamp(m_route->rank, 0, ranksOfRoutes - 1);
+    return m_organisation && m_organisation->rank ? *m_organisation->rank * ranksOfRoutes + routeRank : routeRank;
+}
 
 // A caller that comes back after a refusal has less patience left than the route's callers have at first.
 Duration RequestTask::callerAge()
