Count a peer as known until the list has shown and dropped it

Cause: in the known red case the owner's first round of promises named one peer only: the dead node had been introduced by itself and was not on the lagging list yet, so it was neither listed nor live and nobody asked for its promise (trace of the rounds). Ruled out: an earlier round that still held, a log that could still be read.

--- a/libs/node/include/node/Mesh.h
+++ b/libs/node/include/node/Mesh.h
@@ -93,7 +93,9 @@
 
     std::vector<PeerStatus> peers() const;
 
-    /** @return every peer that the platform lists or that is live, reachable or not. */
+    /**
+     * @return every peer that is live or listed, or that the lagging list has not shown yet, reachable or not.
+     */
     std::vector<std::string> knownPeers() const;
 
     /** @return bytes of messages sent to peers so far. */
@@ -109,6 +111,7 @@
         LinkId link = 0;
         bool isOpen = false;
         bool isListed = false;
+        bool wasListed = false; /**< The list has shown it at some time. */
         bool isEnding = false;
         uint64_t sequence = 0;
         TimePoint lastAnswer {};
--- a/libs/node/src/Mesh.cpp
+++ b/libs/node/src/Mesh.cpp
@@ -52,6 +52,7 @@
             const auto& peer = entry.second;
             const auto listed = std::find_if(vms.begin(), vms.end(), [&](const Vm& vm) { return vm.id == entry.first; });
             peer->isListed = listed != vms.end();
+            peer->wasListed = peer->wasListed || peer->isListed;
             peer->status.isListedLeaving = listed != vms.end() && listed->leaving;
         }
     }
@@ -343,7 +344,8 @@
     std::lock_guard lock(m_mutex);
     std::vector<std::string> names;
     for (const auto& [id, peer] : m_peers) {
-        if (peer->isListed || peer->status.isLive)
+        const bool isDropped = peer->wasListed && !peer->isListed;
+        if (peer->status.isLive || !isDropped)
             names.push_back(id);
     }
     return names;
--- a/libs/node/tests/MeshTests.cpp
+++ b/libs/node/tests/MeshTests.cpp
@@ -132,6 +132,22 @@
     }));
 }
 
+TEST_CASE("a peer that dies before the list has shown it stays known, one that the list has dropped does not")
+{
+    Member first("n1");
+    Member second("n2");
+    second.mesh->update({ first.vm("n1") });
+    REQUIRE(first.waitFor([&] { return first.mesh->members().size() == 2; }));
+    const auto vm = second.vm("n2");
+    second.mesh->shutdown();
+    REQUIRE(first.waitFor([&] { return first.mesh->members().size() == 1; }));
+    CHECK(first.mesh->knownPeers() == Names { "n2" });
+    first.mesh->update({ vm });
+    CHECK(first.mesh->knownPeers() == Names { "n2" });
+    first.mesh->update({});
+    CHECK(first.mesh->knownPeers().empty());
+}
+
 TEST_CASE("a frame that can't be read closes its link")
 {
     Member first("n1");
--- a/libs/server/src/Node.cpp
+++ b/libs/server/src/Node.cpp
@@ -226,6 +226,9 @@
         void operator()(const ClaimDeclareAck& message) const { node.m_claimHomes->onDeclareAck(from, message); }
         void operator()(const ClaimAnswer& message) const { node.m_claims->onAnswer(message); }
         void operator()(const RolloutAlarm& message) const { node.m_rollouts->onAlarm(message); }
+        // Sent between gateway nodes only.
+        void operator()(const NodeReport&) const { }
+        void operator()(const PlaceQueued&) const { }
         void operator()(const StateAsk&) const { node.offerState(from); }
         void operator()(const StateOffer& message) const { node.takeState(message); }
         // Links and heartbeats are the mesh's own matter.
