--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -30,8 +30,10 @@
 {
     const double nominal = quota.ratePerSecond * toSeconds(m_bounds.window) + quota.burst;
     const double tolerated = nominal * m_bounds.overshoot + m_bounds.slack;
-    const double forgotten = quota.ratePerSecond * toSeconds(m_bounds.window) * std::clamp(blindness.forgottenShare, 0.0, 1.0);
-    return (nominal + usedTolerance * tolerated) * (1 - std::clamp(blindness.silentShare, 0.0, 1.0)) - forgotten;
+    const double whole = nominal + usedTolerance * tolerated;
+    const double seen = 1 - std::clamp(blindness.silentShare, 0.0, 1.0);
+    const double remembered = 1 - std::clamp(blindness.forgottenShare, 0.0, 1.0);
+    return whole * (seen + remembered - 1);
 }
 
 bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, const QuotaBlindness& blindness, TimePoint now)
