--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -88,6 +88,7 @@
     NodeReport makeReport(bool withPeers);
     std::string homeOf(const std::string& pool) const;
     Duration memory() const;
+    void rememberUsage(const NodeReport&);
     void send(const std::string& address, const Message&);
     std::optional<QuotaRefusal> takeQuota(const GatewayOrganisation&, int tokens);
     void run(const char* name, Task<void>);
@@ -110,6 +111,7 @@
     TimePoint m_started {};
     int64_t m_incarnation = 0;
     uint64_t m_sequence = 0;
+    bool m_remembersAll = false; /**< A peer has told what was admitted before this node started. */
     bool m_isStopping = false;
 };
 
--- a/libs/gateway/include/gateway/QuotaAccount.h
+++ b/libs/gateway/include/gateway/QuotaAccount.h
@@ -58,17 +58,19 @@
     /** @return tokens admitted by this node. */
     int64_t ownTokens() const { return m_ownTokens; }
 
-    /** @return tokens admitted by this node in the window. */
-    int64_t recentOwnTokens(TimePoint now) const;
+    /** @return tokens admitted by all nodes in the window, as far as known. */
+    int64_t recentTokens(TimePoint now) const;
+
+    /** Takes what was admitted before this node started, as a peer remembers it; it is taken to have come evenly. */
+    void remember(int64_t tokens, TimePoint now);
 
 private:
     struct Use {
         TimePoint time;
         int64_t tokens = 0;
-        bool isOwn = false;
     };
 
-    void note(int64_t tokens, bool isOwn, TimePoint now);
+    void note(int64_t tokens, TimePoint now);
     double allowance(const TokenQuota&, const QuotaBlindness&) const;
 
     QuotaBounds m_bounds;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -177,6 +177,7 @@
     }
     if (m_peers.onReport(text(from), *report, monotonicNow()))
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.nodes() } });
+    rememberUsage(*report);
     m_places.setPeerLoads(text(from), report->loads);
 }
 
@@ -209,7 +210,7 @@
     report.directoryOffset = m_directoryOffset;
     report.loads = m_places.loads();
     for (const auto& [organisation, account] : m_quotas)
-        report.usage.push_back({ organisation, account.ownTokens(), account.recentOwnTokens(now) });
+        report.usage.push_back({ organisation, account.ownTokens(), account.recentTokens(now) });
     report.memoryMs = memory().count();
     if (withPeers) {
         report.peers = m_peers.live();
@@ -296,10 +297,21 @@
     }
 }
 
+// One peer that has run for a whole window remembers what all nodes have admitted.
+void GatewayNode::rememberUsage(const NodeReport& report)
+{
+    const auto window = m_options.bounds.quotas.window;
+    if (memory() >= window || Duration(report.memoryMs) < window)
+        return;
+    m_remembersAll = true;
+    for (const auto& item : report.usage)
+        m_quotas.try_emplace(item.organisation, m_options.bounds.quotas).first->second.remember(item.recent, monotonicNow());
+}
+
 Duration GatewayNode::memory() const
 {
     const auto running = std::chrono::duration_cast<Duration>(monotonicNow() - m_started);
-    return m_options.isFirstStart ? running + m_options.bounds.quotas.window : running;
+    return m_options.isFirstStart || m_remembersAll ? running + m_options.bounds.quotas.window : running;
 }
 
 std::optional<QuotaRefusal> GatewayNode::takeQuota(const GatewayOrganisation& organisation, int tokens)
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -40,7 +40,7 @@
     return isNewlyLive;
 }
 
-// Counts what was admitted since the last report; of the first report of a peer, what is recent.
+// Counts what was admitted since the last report; the first report of a peer sets only the mark.
 void PeerView::countUsage(Peer& peer, const NodeReport& report, bool isSameStart)
 {
     for (const auto& item : report.usage) {
@@ -50,7 +50,7 @@
         if (isSameStart && before != peer.report.usage.end())
             last = before->tokens;
         else if (!peer.wasHeard)
-            last = item.tokens - item.recent;
+            last = item.tokens;
         peer.usage[item.organisation] += std::max<int64_t>(0, item.tokens - last);
     }
 }
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-void QuotaAccount::note(int64_t tokens, bool isOwn, TimePoint now)
+void QuotaAccount::note(int64_t tokens, TimePoint now)
 {
     while (!m_uses.empty() && m_uses.front().time <= now - m_bounds.window) {
         m_used -= m_uses.front().tokens;
@@ -23,7 +23,7 @@
     if (tokens <= 0)
         return;
     m_used += tokens;
-    m_uses.push_back({ now, tokens, isOwn });
+    m_uses.push_back({ now, tokens });
 }
 
 double QuotaAccount::allowance(const TokenQuota& quota, const QuotaBlindness& blindness) const
@@ -38,11 +38,11 @@
 
 bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, const QuotaBlindness& blindness, TimePoint now)
 {
-    note(peerTokens - m_peerTokens, false, now);
+    note(peerTokens - m_peerTokens, now);
     m_peerTokens = peerTokens;
     if (static_cast<double>(m_used + tokens) > allowance(quota, blindness))
         return false;
-    note(tokens, true, now);
+    note(tokens, now);
     m_ownTokens += tokens;
     return true;
 }
@@ -62,14 +62,24 @@
     return result;
 }
 
-int64_t QuotaAccount::recentOwnTokens(TimePoint now) const
+int64_t QuotaAccount::recentTokens(TimePoint now) const
 {
     int64_t tokens = 0;
     for (const auto& use : m_uses) {
-        if (use.isOwn && use.time > now - m_bounds.window)
+        if (use.time > now - m_bounds.window)
             tokens += use.tokens;
     }
     return tokens;
 }
 
+void QuotaAccount::remember(int64_t tokens, TimePoint now)
+{
+    constexpr int parts = 8;
+    const auto newest = m_uses.empty() ? now : m_uses.front().time;
+    for (int part = 0; part < parts; ++part) {
+        m_uses.push_front({ newest - m_bounds.window * part / parts, tokens / parts });
+        m_used += tokens / parts;
+    }
+}
+
 } // namespace bronzeswitch
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -208,11 +208,11 @@
     bool operator==(const UpstreamLoad&) const = default;
 };
 
-/** Tokens that a node has admitted for an organisation since it started. */
+/** What a node knows of an organisation's use of its quota. */
 struct OrganisationUsage {
     std::string organisation;
-    int64_t tokens = 0;
-    int64_t recent = 0; /**< Of these, in the time over which quotas are held. */
+    int64_t tokens = 0; /**< Admitted by the node since it started. */
+    int64_t recent = 0; /**< Admitted by all nodes, in the time over which quotas are held. */
 
     bool operator==(const OrganisationUsage&) const = default;
 };
