--- a/libs/gateway/include/gateway/QuotaAccount.h
+++ b/libs/gateway/include/gateway/QuotaAccount.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <vector>
 
 namespace bronzeswitch {
 
@@ -58,11 +59,11 @@
     /** @return tokens admitted by this node. */
     int64_t ownTokens() const { return m_ownTokens; }
 
-    /** @return tokens admitted by all nodes in the window, as far as known. */
-    int64_t recentTokens(TimePoint now) const;
+    /** @return tokens admitted by all nodes in each eighth of the window, newest first, as far as known. */
+    std::vector<int64_t> recentTokens(TimePoint now) const;
 
-    /** Takes what was admitted before this node started, as a peer remembers it; it is taken to have come evenly. */
-    void remember(int64_t tokens, TimePoint now);
+    /** Takes what was admitted before this node started, as a peer remembers it. */
+    void remember(const std::vector<int64_t>& recent, TimePoint now);
 
 private:
     struct Use {
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr double usedTolerance = 0.5;
+constexpr int windowParts = 8;
 
 } // namespace
 
@@ -62,23 +63,25 @@
     return result;
 }
 
-int64_t QuotaAccount::recentTokens(TimePoint now) const
+std::vector<int64_t> QuotaAccount::recentTokens(TimePoint now) const
 {
-    int64_t tokens = 0;
+    std::vector<int64_t> parts(windowParts, 0);
     for (const auto& use : m_uses) {
-        if (use.time > now - m_bounds.window)
-            tokens += use.tokens;
+        const auto part = static_cast<std::size_t>((now - use.time) / (m_bounds.window / windowParts));
+        if (part < parts.size())
+            parts[part] += use.tokens;
     }
-    return tokens;
+    return parts;
 }
 
-void QuotaAccount::remember(int64_t tokens, TimePoint now)
+void QuotaAccount::remember(const std::vector<int64_t>& recent, TimePoint now)
 {
-    constexpr int parts = 8;
-    const auto newest = m_uses.empty() ? now : m_uses.front().time;
-    for (int part = 0; part < parts; ++part) {
-        m_uses.push_front({ newest - m_bounds.window * part / parts, tokens / parts });
-        m_used += tokens / parts;
+    auto time = m_uses.empty() ? now : m_uses.front().time;
+    for (const auto tokens : recent) {
+        // An earlier time would let a part lapse before the whole of it is over.
+        m_uses.push_front({ time, tokens });
+        m_used += tokens;
+        time -= m_bounds.window / windowParts;
     }
 }
 
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -212,7 +212,7 @@
 struct OrganisationUsage {
     std::string organisation;
     int64_t tokens = 0; /**< Admitted by the node since it started. */
-    int64_t recent = 0; /**< Admitted by all nodes, in the time over which quotas are held. */
+    std::vector<int64_t> recent; /**< Admitted by all nodes in each eighth of the time over which quotas are held, newest first. */
 
     bool operator==(const OrganisationUsage&) const = default;
 };
