--- a/libs/gateway/include/gateway/QuotaAccount.h
+++ b/libs/gateway/include/gateway/QuotaAccount.h
@@ -20,6 +20,7 @@
 /** What a node can't see of the use of a quota. */
 struct QuotaBlindness {
     double silentShare = 0; /**< Part of the nodes that are silent and may go on admitting, 0 to 1. */
+    int nodes = 1; /**< That see the same room and may take it at the same moment. */
     double forgottenShare = 0; /**< Part of the window that nobody remembers after restarts, 0 to 1. */
 
     bool operator==(const QuotaBlindness&) const = default;
@@ -40,7 +41,8 @@
  * Answers an organisation that sends many times its usual: every node keeps the same sliding window, counts at once what it
  * admits itself and later what its peers tell. A node that is silent may go on admitting its part, so that part is left to
  * it. Requests of one organisation come in clumps, which the window lets pass as long as its whole allowance lasts. Half of
- * what may pass on top is used, the other half is for what peers have admitted and not yet told.
+ * what may pass on top is used, the other half is for what peers have admitted and not yet told. When a clump leaves the
+ * window, all nodes see the same room; each takes only its part of it until the others have told what they took.
  */
 class QuotaAccount {
 public:
@@ -72,6 +74,7 @@
     };
 
     void note(int64_t tokens, TimePoint now);
+    bool isFairPart(int tokens, double room, int nodes, TimePoint now);
     double allowance(const TokenQuota&, const QuotaBlindness&) const;
 
     QuotaBounds m_bounds;
@@ -79,6 +82,8 @@
     int64_t m_used = 0; /**< In the window. */
     int64_t m_peerTokens = 0;
     int64_t m_ownTokens = 0;
+    TimePoint m_sliceStart {};
+    int64_t m_sliceTokens = 0; /**< Admitted by this node since then. */
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -319,7 +319,7 @@
     const auto now = monotonicNow();
     auto& account = m_quotas.try_emplace(organisation.name, m_options.bounds.quotas).first->second;
     const double known = m_peers.knownNodes();
-    const QuotaBlindness blindness { (known - m_peers.nodes()) / known,
+    const QuotaBlindness blindness { (known - m_peers.nodes()) / known, m_peers.nodes(),
         m_peers.forgottenShare(m_options.bounds.quotas.window, memory(), now) };
     if (account.take(organisation.quota, tokens, m_peers.usage(organisation.name), blindness, now))
         return std::nullopt;
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -7,6 +7,7 @@
 
 constexpr double usedTolerance = 0.5;
 constexpr int windowParts = 8;
+constexpr Duration slice { 150 }; // A little more than the peers take to tell.
 
 } // namespace
 
@@ -41,13 +42,25 @@
 {
     note(peerTokens - m_peerTokens, now);
     m_peerTokens = peerTokens;
-    if (static_cast<double>(m_used + tokens) > allowance(quota, blindness))
+    const double room = allowance(quota, blindness) - static_cast<double>(m_used);
+    if (tokens > room || !isFairPart(tokens, room, blindness.nodes, now))
         return false;
+    m_sliceTokens += tokens;
     note(tokens, now);
     m_ownTokens += tokens;
     return true;
 }
 
+bool QuotaAccount::isFairPart(int tokens, double room, int nodes, TimePoint now)
+{
+    if (now - m_sliceStart >= slice) {
+        m_sliceStart = now;
+        m_sliceTokens = 0;
+    }
+    // One request passes in any case, else nobody could take a small room.
+    return !m_sliceTokens || static_cast<double>(m_sliceTokens + tokens) <= room / std::max(1, nodes);
+}
+
 QuotaRefusal QuotaAccount::refusal(const TokenQuota& quota, int tokens, const QuotaBlindness& blindness, TimePoint now) const
 {
     const double allowed = allowance(quota, blindness);
