Count all that a peer admitted since a recent start

Cause: the first report heard of a peer set only the mark, so what restarted nodes admitted before they heard each other was lost.

--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -14,6 +14,7 @@
 /** Bounds of what is believed of peers. */
 struct PeerBounds {
     Duration liveFor { 1500 }; /**< A peer is live for so long after its last report. */
+    Duration usageWindow { 8000 }; /**< What was admitted longer ago than this no longer counts. */
     Duration forgetAfter { 30000 }; /**< An address that was never or not lately heard is dropped. */
 
     bool operator==(const PeerBounds&) const = default;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -55,7 +55,7 @@
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(dialect), m_log, m_metrics, m_clients, m_places, nullptr, {},
         {}, [this] { return m_peers.knownNodes(); },
         [this](const GatewayOrganisation& organisation, int tokens) { return takeQuota(organisation, tokens); } }
-    , m_peers(m_options.peers.address().to_string() + ":" + std::to_string(m_options.peers.port()), {})
+    , m_peers(m_options.peers.address().to_string() + ":" + std::to_string(m_options.peers.port()), { .usageWindow = m_options.bounds.quotas.window })
     , m_started(monotonicNow())
     , m_incarnation(unixMs())
 {
@@ -212,6 +212,7 @@
     for (const auto& [organisation, account] : m_quotas)
         report.usage.push_back({ organisation, account.ownTokens(), account.recentTokens(now) });
     report.memoryMs = memory().count();
+    report.upMs = std::chrono::duration_cast<Duration>(now - m_started).count();
     if (withPeers) {
         report.peers = m_peers.live();
         if (report.peers.size() > peersNamed)
@@ -232,6 +233,7 @@
         comparable.sequence = last.sequence;
         comparable.peers = last.peers;
         comparable.memoryMs = last.memoryMs;
+        comparable.upMs = last.upMs;
         const bool isDue = withPeers || comparable != last || ++quiet >= idleReportFactor;
         if (isDue) {
             quiet = 0;
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -40,7 +40,8 @@
     return isNewlyLive;
 }
 
-// Counts what was admitted since the last report; the first report of a peer sets only the mark.
+// Counts what was admitted since the last report; the first report of a peer that has run for
+// long sets only the mark.
 void PeerView::countUsage(Peer& peer, const NodeReport& report, bool isSameStart)
 {
     for (const auto& item : report.usage) {
@@ -49,7 +50,7 @@
         int64_t last = 0;
         if (isSameStart && before != peer.report.usage.end())
             last = before->tokens;
-        else if (!peer.wasHeard)
+        else if (!peer.wasHeard && Duration(report.upMs) >= m_bounds.usageWindow)
             last = item.tokens;
         peer.usage[item.organisation] += std::max<int64_t>(0, item.tokens - last);
     }
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -231,6 +231,7 @@
     std::vector<OrganisationUsage> usage;
     std::vector<std::string> peers; /**< Addresses of peers that the sender hears. */
     int64_t memoryMs = 0; /**< For how long the sender remembers what was admitted; short after its restart. */
+    int64_t upMs = 0; /**< Since the start of the sender. */
 
     bool operator==(const NodeReport&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -46,7 +46,7 @@
         return std::tie(message.organisation, message.tokens, message.recent);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers, message.memoryMs);
+            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers, message.memoryMs, message.upMs);
     else if constexpr (std::is_same_v<Type, ClaimAsk>)
         return std::tie(message.id, message.key, message.attempt, message.mode);
     else if constexpr (std::is_same_v<Type, ClaimAnswer>)
--- a/libs/protocol/tests/MessageTests.cpp
+++ b/libs/protocol/tests/MessageTests.cpp
@@ -17,7 +17,7 @@
         ClaimAsk { 1, "key", "attempt", ClaimMode::Claim }, ClaimAnswer { 1, ClaimState::Recorded, "n1", 200, "text/plain", "done" },
         ClaimOutcome { "key", "attempt", 0, "", "" }, RolloutAlarm { "r", "errors" }, ClaimDeclare { 3, "n1#a", "ep", 2, 10000 },
         ClaimDeclareAck { 3, "ep", 2 },
-        NodeReport { "n1", "honda", 1790000000000, 4, true, false, 7, 40, { { "e1", 3, 120, 2500 } }, { { "north", 900, { 300, 0, 20 } } }, { "127.0.0.1:9" }, 8000 }, PlaceQueued { 7 } };
+        NodeReport { "n1", "honda", 1790000000000, 4, true, false, 7, 40, { { "e1", 3, 120, 2500 } }, { { "north", 900, { 300, 0, 20 } } }, { "127.0.0.1:9" }, 8000, 400 }, PlaceQueued { 7 } };
 }
 
 } // namespace
