--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -27,7 +27,10 @@
  */
 class PeerView {
 public:
-    PeerView(std::string ownAddress, PeerBounds);
+    explicit PeerView(PeerBounds);
+
+    /** Leaves this node's own address out. */
+    void setOwnAddress(const std::string&);
 
     /** Takes an address where a peer may be; seeds are never dropped. */
     void addAddress(const std::string& address, bool isSeed, TimePoint now);
--- a/libs/gateway/include/gateway/PlaceDesk.h
+++ b/libs/gateway/include/gateway/PlaceDesk.h
@@ -33,10 +33,10 @@
         std::function<void(const std::string& node)> onSilent; /**< The home did not answer. */
     };
 
-    /** @param node this node's peer address. */
-    PlaceDesk(Executor, std::string node, std::string dataCentre, DecisionLog&);
+    PlaceDesk(Executor, std::string dataCentre, DecisionLog&);
 
-    void connect(Links links) { m_links = std::move(links); }
+    /** Connects the desk with other nodes. @param node this node's peer address. */
+    void connect(std::string node, Links);
 
     /** Takes new routes or upstreams. */
     void configure(const RoutingTable&, const UpstreamDirectory&);
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -51,11 +51,11 @@
     , m_writer(writer)
     , m_log(m_options.node, writer, m_options.logLinesPerSecond)
     , m_clients(loop.get_executor(), {})
-    , m_places(loop.get_executor(), text({ m_options.peers.address(), m_options.peers.port() }), m_options.dataCentre, m_log)
+    , m_places(loop.get_executor(), m_options.dataCentre, m_log)
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(dialect), m_log, m_metrics, m_clients, m_places, nullptr, {},
         {}, [this] { return m_peers.knownNodes(); },
         [this](const GatewayOrganisation& organisation, int tokens) { return takeQuota(organisation, tokens); } }
-    , m_peers(m_options.peers.address().to_string() + ":" + std::to_string(m_options.peers.port()), { .usageWindow = m_options.bounds.quotas.window })
+    , m_peers({ .usageWindow = m_options.bounds.quotas.window })
     , m_started(monotonicNow())
     , m_incarnation(unixMs())
 {
@@ -83,6 +83,7 @@
     if (!datagrams)
         return tl::unexpected(datagrams.error());
     m_datagrams = std::move(*datagrams);
+    m_peers.setOwnAddress(peerAddress());
     return true;
 }
 
@@ -97,7 +98,7 @@
 void GatewayNode::start(StateSource source)
 {
     m_source = std::move(source);
-    m_places.connect({ [this](const std::string& pool) { return homeOf(pool); },
+    m_places.connect(peerAddress(), { [this](const std::string& pool) { return homeOf(pool); },
         [this](const std::string& address, const Message& message) { send(address, message); },
         [this](const std::string& address) { m_peers.suspect(address, monotonicNow() + suspicionTime); } });
     const auto onFailure
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -3,12 +3,17 @@
 
 namespace bronzeswitch {
 
-PeerView::PeerView(std::string ownAddress, PeerBounds bounds)
-    : m_ownAddress(std::move(ownAddress))
-    , m_bounds(bounds)
+PeerView::PeerView(PeerBounds bounds)
+    : m_bounds(bounds)
 {
 }
 
+void PeerView::setOwnAddress(const std::string& address)
+{
+    m_ownAddress = address;
+    m_peers.erase(address);
+}
+
 void PeerView::addAddress(const std::string& address, bool isSeed, TimePoint now)
 {
     if (address == m_ownAddress || address.empty())
--- a/libs/gateway/src/PlaceDesk.cpp
+++ b/libs/gateway/src/PlaceDesk.cpp
@@ -9,6 +9,7 @@
 constexpr const char* stableVersion = "stable";
 constexpr double millisecondsPerSecond = 1000;
 constexpr NominalSpeed engineSpeed { 55000, 3.6 };
+constexpr double lowerRankShare = 0.1;
 constexpr Duration answerBound { 40 }; // For a home's first word on an ask.
 constexpr int sendings = 2; // After so many without a word the ask is decided here.
 constexpr Duration askAgain { 250 }; // To a home at which the ask waits.
@@ -37,6 +38,7 @@
     PoolPlan plan;
     plan.dataCentre = dataCentre;
     plan.nominalSpeed = engineSpeed;
+    plan.lowerRankShare = lowerRankShare;
     for (const auto& [id, entry] : directory.entries()) {
         if (entry.service == service.name)
             plan.upstreams.push_back(makeUpstream(entry, service));
@@ -51,14 +53,19 @@
     return plan;
 }
 
-PlaceDesk::PlaceDesk(Executor executor, std::string node, std::string dataCentre, DecisionLog& log)
+PlaceDesk::PlaceDesk(Executor executor, std::string dataCentre, DecisionLog& log)
     : m_executor(executor)
-    , m_node(std::move(node))
     , m_dataCentre(std::move(dataCentre))
     , m_log(log)
 {
 }
 
+void PlaceDesk::connect(std::string node, Links links)
+{
+    m_node = std::move(node);
+    m_links = std::move(links);
+}
+
 void PlaceDesk::configure(const RoutingTable& table, const UpstreamDirectory& directory)
 {
     const auto now = monotonicNow();
--- /dev/null
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -0,0 +1,208 @@
+#include <catch2/catch.hpp>
+#include <gateway/EventStream.h>
+#include <gateway/PeerView.h>
+#include <gateway/QuotaAccount.h>
+#include <gateway/RetryBudget.h>
+#include <gateway/RoutingTable.h>
+#include <gateway/UpstreamDirectory.h>
+
+using namespace bronzeswitch;
+
+namespace {
+
+const TimePoint start = TimePoint() + std::chrono::hours(1);
+
+RoutingDocument document()
+{
+    RoutingDocument result;
+    result.version = 4;
+    result.services = { { "records", 10, 0, 1 } };
+    GatewayRoute shortRoute;
+    shortRoute.name = "short";
+    shortRoute.host = "ramp.example";
+    shortRoute.pathPrefix = "/a/";
+    shortRoute.services = { { "records", 1 } };
+    auto longRoute = shortRoute;
+    longRoute.name = "long";
+    longRoute.pathPrefix = "/a/b/";
+    result.routes = { shortRoute, longRoute };
+    GatewayOrganisation organisation;
+    organisation.name = "crews";
+    organisation.keys = { "k1", "k2" };
+    result.organisations = { organisation };
+    return result;
+}
+
+UpstreamEntry entry(const std::string& id) { return { id, "records", "127.0.0.1:9", "honda", "v1", 4, false, 1 }; }
+
+NodeReport reportOf(uint64_t sequence, int64_t incarnation = 1)
+{
+    NodeReport report;
+    report.node = "n2";
+    report.incarnation = incarnation;
+    report.sequence = sequence;
+    report.isReady = true;
+    report.upMs = 100000;
+    return report;
+}
+
+constexpr QuotaBounds quotaBounds { Duration(8000), 0, 0 };
+constexpr TokenQuota quota { 100, 100, 1 }; // 900 tokens in 8 s.
+
+} // namespace
+
+TEST_CASE("the longest prefix of a host wins, and a prefix ends at a slash")
+{
+    const auto table = RoutingTable::create(document());
+    REQUIRE(table);
+    CHECK((*table)->findRoute("ramp.example", "/a/b/c")->name == "long");
+    CHECK((*table)->findRoute("ramp.example:80", "/a/bc?x=/a/b/")->name == "short");
+    CHECK_FALSE((*table)->findRoute("ramp.example", "/ab/c"));
+    CHECK_FALSE((*table)->findRoute("other.example", "/a/b/c"));
+    CHECK((*table)->findOrganisation("k2")->name == "crews");
+    CHECK_FALSE((*table)->findOrganisation("k3"));
+}
+
+TEST_CASE("all findings of a routing document are reported together")
+{
+    auto wrong = document();
+    wrong.routes[0].pathPrefix = "a/";
+    wrong.routes[1].services = { { "nowhere", 1 } };
+    const auto table = RoutingTable::create(wrong);
+    REQUIRE_FALSE(table);
+    CHECK(table.error().size() == 2);
+}
+
+TEST_CASE("events pass whole, in order, and an unfinished one is dropped before the stream goes on")
+{
+    EventStream stream(std::nullopt);
+    CHECK(*stream.push("id: 1\nda") == "");
+    CHECK(*stream.push("ta: a\n\nid: 2\ndata: b\n\nid: 3\n") == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK_FALSE(stream.isWhole());
+    stream.restart();
+    CHECK(stream.lastEventId() == 2);
+    CHECK(*stream.push("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+    CHECK_FALSE(stream.push("id: 3\ndata: c\n\n"));
+    EventStream later(7);
+    CHECK_FALSE(later.push("id: 9\ndata: x\n\n"));
+}
+
+TEST_CASE("repeats of all nodes together stay inside the allowance")
+{
+    const RetryAllowance allowance { 0.2, 60, Duration(10000) };
+    constexpr int nodes = 9;
+    int repeats = 0;
+    int requests = 0;
+    for (int node = 0; node < nodes; ++node) {
+        RetryBudget budget(allowance);
+        for (int i = 0; i < 100; ++i) {
+            budget.onRequest(start + Duration(i));
+            ++requests;
+            repeats += budget.take(nodes, start + Duration(i)) ? 1 : 0;
+        }
+    }
+    CHECK(repeats > 0);
+    CHECK(repeats <= allowance.ratio * requests + allowance.slack);
+}
+
+TEST_CASE("an old part of the window frees its tokens, a clump may use the whole window")
+{
+    QuotaAccount account(quotaBounds);
+    CHECK(account.take(quota, 900, 0, {}, start));
+    CHECK_FALSE(account.take(quota, 1, 0, {}, start + Duration(7000)));
+    const auto refusal = account.refusal(quota, 1, {}, start + Duration(7000));
+    CHECK(refusal.wait == Duration(1000));
+    CHECK(refusal.used == 900);
+    CHECK(account.take(quota, 400, 0, {}, start + Duration(8100)));
+}
+
+TEST_CASE("when a clump leaves the window, nodes that see the same room don't take it several times over")
+{
+    constexpr int nodes = 9;
+    std::vector<QuotaAccount> accounts(nodes, QuotaAccount(quotaBounds));
+    QuotaBlindness blindness;
+    blindness.nodes = nodes;
+    int64_t taken = 0;
+    for (auto& account : accounts) {
+        for (int i = 0; i < 20; ++i)
+            taken += account.take(quota, 45, 0, blindness, start) ? 45 : 0;
+    }
+    CHECK(taken > 0);
+    CHECK(taken <= 900);
+}
+
+TEST_CASE("a restarted node takes a peer's memory, and leaves room for what nobody remembers")
+{
+    QuotaAccount survivor(quotaBounds);
+    REQUIRE(survivor.take(quota, 500, 0, {}, start));
+    QuotaAccount restarted(quotaBounds);
+    restarted.remember(survivor.recentTokens(start + Duration(100)), start + Duration(100));
+    CHECK_FALSE(restarted.take(quota, 401, 0, {}, start + Duration(200)));
+    CHECK(restarted.take(quota, 400, 0, {}, start + Duration(200)));
+    QuotaAccount blind(quotaBounds);
+    QuotaBlindness blindness;
+    blindness.forgottenShare = 0.75;
+    CHECK_FALSE(blind.take(quota, 226, 0, blindness, start));
+    CHECK(blind.take(quota, 225, 0, blindness, start));
+}
+
+TEST_CASE("reports replace each other and old ones are ignored")
+{
+    PeerView view({});
+    view.setOwnAddress("127.0.0.1:1");
+    CHECK(view.onReport("127.0.0.1:2", reportOf(5), start));
+    CHECK_FALSE(view.onReport("127.0.0.1:2", reportOf(6), start));
+    auto old = reportOf(4);
+    old.routingVersion = 9;
+    view.onReport("127.0.0.1:2", old, start);
+    std::string address;
+    CHECK_FALSE(view.newestRouting(0, address));
+    CHECK_FALSE(view.onReport("127.0.0.1:1", reportOf(1), start));
+    view.expire(start);
+    CHECK(view.members() == std::vector<std::string> { "127.0.0.1:2" });
+    view.suspect("127.0.0.1:2", start + Duration(1000));
+    CHECK(view.members().empty());
+    CHECK(view.expire(start + Duration(2000)) == std::vector<std::string> { "127.0.0.1:2" });
+    CHECK(view.nodes() == 1);
+    CHECK(view.knownNodes() == 2);
+}
+
+TEST_CASE("what a peer has admitted counts from its first report, over its restart, and not twice")
+{
+    PeerView view({});
+    auto report = reportOf(1);
+    report.usage = { { "crews", 700, {} } };
+    view.onReport("127.0.0.1:2", report, start);
+    CHECK(view.usage("crews") == 0);
+    report.sequence = 2;
+    report.usage[0].tokens = 750;
+    view.onReport("127.0.0.1:2", report, start);
+    CHECK(view.usage("crews") == 50);
+    auto again = reportOf(1, 2);
+    again.upMs = 100;
+    again.usage = { { "crews", 30, {} } };
+    view.onReport("127.0.0.1:2", again, start);
+    CHECK(view.usage("crews") == 80);
+    auto fresh = reportOf(1);
+    fresh.upMs = 100;
+    fresh.usage = { { "crews", 20, {} } };
+    view.onReport("127.0.0.1:3", fresh, start);
+    CHECK(view.usage("crews") == 100);
+}
+
+TEST_CASE("an entry that lapsed while the directory was away may come back within its grace")
+{
+    UpstreamDirectory directory;
+    directory.put(entry("e1"));
+    directory.put(entry("e2"));
+    CHECK_FALSE(directory.put(entry("e2")));
+    const auto grace = start + Duration(2000);
+    CHECK_FALSE(directory.remove("e1", start, grace));
+    CHECK_FALSE(directory.remove("e2", start, grace));
+    directory.put(entry("e2"));
+    CHECK_FALSE(directory.expire(start + Duration(1000)));
+    CHECK(directory.expire(grace));
+    CHECK_FALSE(directory.find("e1"));
+    CHECK(directory.find("e2"));
+    CHECK(directory.remove("e2", grace, start));
+}
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -35,6 +35,7 @@
     std::vector<Organisation> organisations;
     Limits limits;
     NominalSpeed nominalSpeed;
+    double lowerRankShare = 0; /**< Part of the work that each lower rank gets before higher ones, 0 for a strict order. */
     std::string dataCentre; /**< Where the requests come from; upstreams there are preferred. Empty for no preference. */
 
     bool operator==(const PoolPlan&) const = default;
--- a/libs/sched/include/sched/WaitingRoom.h
+++ b/libs/sched/include/sched/WaitingRoom.h
@@ -9,7 +9,7 @@
  *
  * Answers the time after a burst: a queue in order of arrival would make every request late until the whole backlog has
  * drained. Asks that can still start in time go first; those whose target has passed lose nothing by waiting longer and take
- * what is left of their rank. A higher rank goes before a lower one, but a lower rank is left a small share of the work, so
+ * what is left of their rank. A higher rank goes before a lower one; a lower rank can be left a small share of the work, so
  * that short requests are not starved by long ones.
  *
  *     WaitingRoom room(weightOf);
@@ -23,6 +23,9 @@
 
     explicit WaitingRoom(WeightOf);
 
+    /** Sets the part of the work that each waiting rank gets before higher ones, 0 for a strict order of ranks. */
+    void setLowerRankShare(double share) { m_lowerRankShare = share; }
+
     void push(Waiter);
 
     /** Moves waiters whose target has passed and lets old work count less. */
@@ -58,6 +61,7 @@
     std::vector<int> starvedRanks() const;
     void drainQueue(Rank&, WaitingQueue&, const std::function<WaitingQueue::Offer(const Waiter&)>& visit);
 
+    double m_lowerRankShare = 0;
     WeightOf m_weightOf;
     std::map<int, Rank> m_ranks;
     TimePoint m_sorted {};
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -65,6 +65,7 @@
 PlaceDecisions PoolScheduler::configure(const PoolPlan& plan, TimePoint now)
 {
     m_plan = plan;
+    m_waiting.setLowerRankShare(plan.lowerRankShare);
     std::set<std::string> names;
     for (const auto& upstream : plan.upstreams) {
         names.insert(upstream.name);
--- a/libs/sched/src/WaitingRoom.cpp
+++ b/libs/sched/src/WaitingRoom.cpp
@@ -5,7 +5,6 @@
 
 namespace {
 
-constexpr double starvedShare = 0.1; // Of the work, which each rank with waiting asks gets before higher ones.
 constexpr double workMemorySeconds = 1;
 
 bool isLate(const Waiter& waiter, TimePoint now)
@@ -44,7 +43,7 @@
         total += rank.work;
     std::vector<int> starved;
     for (const auto& [number, rank] : m_ranks) {
-        if (rank.inTime.size() && rank.work < starvedShare * total)
+        if (rank.inTime.size() && rank.work < m_lowerRankShare * total)
             starved.push_back(number);
     }
     return starved;
