--- a/libs/caller/src/CallerRequest.cpp
+++ b/libs/caller/src/CallerRequest.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <base/Hash.h>
+#include <base/HttpStatus.h>
 #include <caller/CallerRequest.h>
 #include <charconv>
-#include <base/HttpStatus.h>
 #include <nlohmann/json.hpp>
 #include <sched/PrefixHistory.h>
 
--- a/libs/caller/src/ModelAnswer.cpp
+++ b/libs/caller/src/ModelAnswer.cpp
@@ -1,5 +1,5 @@
-#include <caller/ModelAnswer.h>
 #include <base/HttpStatus.h>
+#include <caller/ModelAnswer.h>
 #include <nlohmann/json.hpp>
 
 namespace bronzeswitch {
--- a/libs/claims/include/claims/ClaimPartition.h
+++ b/libs/claims/include/claims/ClaimPartition.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <protocol/Messages.h>
 #include <infra/AppendLog.h>
+#include <protocol/Messages.h>
 
 #include <map>
 #include <optional>
--- a/libs/ledger/include/ledger/LedgerState.h
+++ b/libs/ledger/include/ledger/LedgerState.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ledger/Records.h>
 #include <infra/AppendLog.h>
+#include <ledger/Records.h>
 
 #include <deque>
 #include <map>
--- a/libs/upstream/src/EngineClient.cpp
+++ b/libs/upstream/src/EngineClient.cpp
@@ -1,5 +1,5 @@
-#include <http/HttpClient.h>
 #include <base/HttpStatus.h>
+#include <http/HttpClient.h>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <upstream/EngineClient.h>
