--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -27,12 +27,6 @@
     bool operator==(const GatewayOptions&) const = default;
 };
 
-/** State that peers pass on to each other, as the source of the state encodes it. */
-struct SharedState {
-    int64_t routingVersion = 0;
-    int64_t directoryOffset = 0;
-};
-
 /**
  * An entry node: takes callers' requests and shares the upstreams with its peers.
  *
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -67,7 +67,6 @@
     , m_routing(context.routing)
     , m_arrived(monotonicNow())
     , m_deadline(m_arrived)
-    , m_routeDeadline(m_arrived)
 {
     ++m_context.activeRequests;
 }
@@ -117,8 +116,7 @@
     m_route = m_routing->findRoute({ host.data(), host.size() }, { m_request.target().data(), m_request.target().size() });
     if (!m_route)
         return Problem { httpstatus::notFound, "no-route", Execution::NotRun, "no route for this host and path", std::nullopt };
-    m_routeDeadline = m_arrived + m_route->timeout;
-    m_deadline = std::min(m_routeDeadline, m_arrived + m_head.patience.value_or(m_route->timeout));
+    m_deadline = m_arrived + std::min(m_route->timeout, m_head.patience.value_or(m_route->timeout));
     m_silenceDeadline = m_arrived + m_context.bounds.callerPatience.of(*m_route);
     m_stream = EventStream(m_head.lastEventId);
     return admitOrganisation();
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -87,7 +87,6 @@
     std::string m_service;
     TimePoint m_arrived;
     TimePoint m_deadline;
-    TimePoint m_routeDeadline;
     TimePoint m_silenceDeadline; /**< When the caller gives up a stream that has not begun. */
     EventStream m_stream { std::nullopt };
     bool m_hasBegun = false; /**< The head of an answer has been sent. */
--- a/libs/net/include/net/HttpClientPool.h
+++ b/libs/net/include/net/HttpClientPool.h
@@ -47,9 +47,6 @@
     /** Closes connections that have been idle for too long. */
     void closeExpired();
 
-    /** Closes the idle connections to a server that is gone. */
-    void forget(const asio::ip::tcp::endpoint&);
-
     /** @return connections opened so far. */
     uint64_t opened() const { return m_opened; }
 
--- a/libs/net/src/HttpClientPool.cpp
+++ b/libs/net/src/HttpClientPool.cpp
@@ -72,6 +72,4 @@
     }
 }
 
-void HttpClientPool::forget(const asio::ip::tcp::endpoint& endpoint) { m_idle.erase(endpoint); }
-
 } // namespace bronzeswitch
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -162,8 +162,6 @@
     /** @return what this scheduler has learned of its upstreams, for the schedulers of other nodes; nothing runs. */
     std::map<std::string, NodeLoad> learned(TimePoint now) const;
 
-    /** @return true if an ask waits here or has a place. */
-    bool knows(const std::string& node, uint64_t askId) const;
     std::vector<UpstreamSummary> summaries(TimePoint now) const;
     const PoolPlan& plan() const { return m_plan; }
 
--- a/libs/sched/include/sched/SpeedEstimate.h
+++ b/libs/sched/include/sched/SpeedEstimate.h
@@ -34,9 +34,6 @@
     /** Notes that a prompt will be read. @param tokens that are not cached. */
     void onDispatch(int tokens, TimePoint now);
 
-    /** Forgets the backlog and what was learned, for an engine that has started anew. */
-    void restart();
-
     double prefillSeconds(int tokens) const;
     double decodeSeconds(int tokens) const;
 
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -340,11 +340,6 @@
     m_waiting.removeIf([&](const Waiter& waiter) { return waiter.node == node && waiter.ask.id == askId; });
 }
 
-bool PoolScheduler::knows(const std::string& node, uint64_t askId) const
-{
-    return m_places.contains({ node, askId }) || m_waiting.contains(node, askId);
-}
-
 PlaceDecisions PoolScheduler::done(const std::string& node, const PlaceDone& done, TimePoint now, std::optional<Place>* ended)
 {
     const auto found = m_places.find({ node, done.id });
--- a/libs/sched/src/SpeedEstimate.cpp
+++ b/libs/sched/src/SpeedEstimate.cpp
@@ -36,8 +36,6 @@
     m_backlogUntil = std::max(now, m_backlogUntil) + reading;
 }
 
-void SpeedEstimate::restart() { *this = SpeedEstimate(m_nominal); }
-
 double SpeedEstimate::prefillSeconds(int tokens) const
 {
     const double ratio = m_betweenTokensMs / m_nominal.betweenTokensMs;
