--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -54,7 +54,7 @@
     void changeDirectory(const std::function<bool(UpstreamDirectory&)>&);
 
     /** Notes up to where the directory's changes have been read. */
-    void setDirectoryOffset(int64_t offset) { m_directoryOffset = offset; }
+    void setDirectoryOffset(int64_t offset);
     int64_t directoryOffset() const { return m_directoryOffset; }
 
     /** Ends running requests and stops. */
@@ -79,6 +79,7 @@
     Task<void> sendReports();
     Task<void> keepHouse();
     Task<void> fetchState();
+    bool isBehind(std::string& address) const;
     NodeReport makeReport(bool withPeers);
     std::string homeOf(const std::string& pool) const;
     Duration memory() const;
@@ -102,6 +103,7 @@
     std::unique_ptr<DatagramSocket> m_datagrams;
     std::map<std::string, QuotaAccount> m_quotas;
     int64_t m_directoryOffset = -1;
+    TimePoint m_directoryMoved {}; /**< When the offset last changed. */
     TimePoint m_started {};
     int64_t m_incarnation = 0;
     uint64_t m_sequence = 0;
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -62,6 +62,9 @@
     /** @return the live peer that knows most, if it knows a newer routing than this, or null. */
     const NodeReport* newestRouting(int64_t than, std::string& address) const;
 
+    /** @return the live peer that has read most of the directory, if more than this, or null. */
+    const NodeReport* newestDirectory(int64_t than, std::string& address) const;
+
     /**
      * @return the part of what was admitted within a window that no node remembers, 0 to 1.
      * @param ownMemory for how long this node remembers.
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -16,6 +16,7 @@
 constexpr Duration houseInterval { 100 };
 constexpr Duration clientSweepInterval { 1000 };
 constexpr Duration fetchTime { 1000 };
+constexpr Duration directoryRest { 800 };
 constexpr Duration fetchPause { 100 };
 constexpr std::size_t maxStateBytes = 16UL * 1024 * 1024;
 constexpr const char* statePath = "/state";
@@ -273,14 +274,29 @@
     }
 }
 
+// The directory changes all the time, so an offset that rests while peers go on shows that its source is out of reach.
+bool GatewayNode::isBehind(std::string& address) const
+{
+    const auto version = m_context.routing ? m_context.routing->version() : 0;
+    if (m_peers.newestRouting(version, address))
+        return true;
+    return monotonicNow() - m_directoryMoved > directoryRest && m_peers.newestDirectory(m_directoryOffset, address);
+}
+
+void GatewayNode::setDirectoryOffset(int64_t offset)
+{
+    if (offset != m_directoryOffset)
+        m_directoryMoved = monotonicNow();
+    m_directoryOffset = offset;
+}
+
 // Takes state from a peer that is ahead, so that a node which the source turns away follows all the same.
 Task<void> GatewayNode::fetchState()
 {
     while (!m_isStopping) {
         co_await sleepFor(m_context.executor, fetchPause);
         std::string address;
-        const auto version = m_context.routing ? m_context.routing->version() : 0;
-        if (!m_peers.newestRouting(version, address))
+        if (!isBehind(address))
             continue;
         const auto endpoint = parseEndpoint(address);
         if (!endpoint)
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -137,6 +137,18 @@
     return best;
 }
 
+const NodeReport* PeerView::newestDirectory(int64_t than, std::string& address) const
+{
+    const NodeReport* best = nullptr;
+    for (const auto& [key, peer] : m_peers) {
+        if (!peer.isLive || peer.report.directoryOffset <= than || (best && peer.report.directoryOffset <= best->directoryOffset))
+            continue;
+        best = &peer.report;
+        address = key;
+    }
+    return best;
+}
+
 double PeerView::forgottenShare(Duration window, Duration ownMemory, TimePoint now) const
 {
     const auto missing = [&](Duration memory) { return std::max(0.0, 1 - toSeconds(memory) / toSeconds(window)); };
