--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -180,7 +180,7 @@
 double PoolScheduler::placeCost(const UpstreamState& state, const PlaceAsk& ask, TimePoint now) const
 {
     const double first = firstTokenSeconds(state, ask, now);
-    const bool isLate = ask.targetMs > 0 && first * millisecondsPerSecond > targetUse * ask.targetMs;
+    const bool isLate = ask.targetMs > 0 && first * millisecondsPerSecond > targetUse * static_cast<double>(ask.targetMs);
     const double load = loadSpreadSeconds * (state.load() + 1) / std::max(1, state.limit.value(now));
     const double reading = readingWeight * state.speed.prefillSeconds(uncachedTokens(state, ask));
     return first + reading + state.speed.decodeSeconds(ask.outputTokens) + load + (isLate ? lateSeconds : 0)
--- a/libs/sched/src/WaitingRoom.cpp
+++ b/libs/sched/src/WaitingRoom.cpp
@@ -73,14 +73,14 @@
 
 std::optional<Waiter> WaitingRoom::popWorst()
 {
-    for (auto entry = m_ranks.rbegin(); entry != m_ranks.rend(); ++entry) {
-        auto& rank = entry->second;
-        if (rank.late.size())
-            return rank.late.popWorst();
-        if (rank.inTime.size())
-            return rank.inTime.popWorst();
+    Rank* lowest = nullptr;
+    for (auto& [number, rank] : m_ranks) {
+        if (rank.late.size() + rank.inTime.size())
+            lowest = &rank;
     }
-    return std::nullopt;
+    if (!lowest)
+        return std::nullopt;
+    return lowest->late.size() ? lowest->late.popWorst() : lowest->inTime.popWorst();
 }
 
 std::vector<Waiter> WaitingRoom::removeIf(const std::function<bool(const Waiter&)>& matches)
