Let a known node take over from a restarted owner; keep partitions that are in doubt

Cause of server_restarted_owner: only a node that the owner had known at its last renewal may take over, and that was judged by age alone. In a young system nobody is of age, so after a fast restart of the owner its partitions stayed closed for good. The owner now names the nodes that it would ask for promises, once a lease and on each change; a life that was named takes over.

Ruled out: a rule by time since the start (a node that was never asked may have missed a stretch without the log; the model's mutant UNKNOWN_TAKES_OVER runs a key twice).

Found on the way by the new case 'an owner that a stretch without the log leaves in doubt ...', which failed first: a node that remembered a promise took the partition over and granted a waiting key in the same batch (answer Granted in place of Unknown), and a suspect owner that wasn't preferred gave the partition back, after which the next life granted the key again. Take-overs in doubt bring no claims now, and a partition in doubt is kept (mutant RELEASE_SUSPECT).

--- a/libs/claims/include/claims/ClaimHome.h
+++ b/libs/claims/include/claims/ClaimHome.h
@@ -38,7 +38,7 @@
         std::function<std::vector<std::string>()> knownPeers; /**< Every other node that may take over. */
         std::function<void(const std::string& node, const ClaimDeclare&)> declare;
         std::function<Duration()> validity;
-        std::function<std::optional<int64_t>()> matureOffset; /**< See ClaimOwnership::setMatureOffset. */
+        std::function<StreamEnds()> streamEnds; /**< See ClaimOwnership::onCaughtUp. */
     };
 
     ClaimHome(int partition, std::shared_ptr<Log> log, Options options)
@@ -173,7 +173,7 @@
         if (!m_isLogReached && now >= m_nextLogTry)
             m_nextLogTry = std::chrono::steady_clock::now() + logTryInterval;
         if (m_isLogReached)
-            m_ownership.onCaughtUp(m_partition, std::chrono::steady_clock::now(), m_options.matureOffset());
+            m_ownership.onCaughtUp(m_partition, std::chrono::steady_clock::now(), m_options.streamEnds());
         else
             goOnWithoutLog(lock);
         settle();
@@ -268,7 +268,8 @@
         const bool mayClaim = m_isLogReached ? mayOwn(now) : m_ownership.mayGrantFromMemory(m_partition, now);
         if (!mayClaim)
             return answerUnavailable(ask, answer, now);
-        answer.state = ClaimState::Free;
+        const bool mayHaveRun = !m_ownership.owns(m_partition) && m_ownership.isInDoubt(m_partition);
+        answer.state = mayHaveRun ? ClaimState::Unknown : ClaimState::Free;
         if (ask.ask.mode == ClaimMode::LookUp)
             return answer;
         if (m_isLogReached)
@@ -328,24 +329,52 @@
                 batch.claims.push_back({ key, entry.attempt, entry.owner, m_memoryValidity[key] });
             batch.endedEpisode = m_ownership.episode();
         }
-        std::set<std::string> keys;
-        for (const auto& ask : m_asks) {
-            const auto* entry = findEntry(ask.ask.key);
-            const bool isFree = !entry || (entry->outcome && !entry->outcome->status);
-            if (ask.ask.mode == ClaimMode::Claim && isFree && mayOwn(now) && keys.insert(ask.ask.key).second)
-                batch.claims.push_back({ ask.ask.key, ask.ask.attempt, ask.node, ask.validityMs });
-        }
-        const bool isLeaving = m_ownership.owns(m_partition) && (m_isGivingUp || !m_options.isPreferred());
-        const bool isWanted = !batch.claims.empty() || (m_options.isPreferred() && !m_isGivingUp);
+        auto claims = claimsToWrite(now);
+        const bool isAsked = !claims.empty();
+        // A take-over in doubt brings no claims: what the owner before granted unseen is found out first, or waited out.
+        const bool isInDoubt = !m_ownership.owns(m_partition) && m_ownership.isInDoubt(m_partition);
+        if (!isInDoubt)
+            batch.claims.insert(batch.claims.end(), claims.begin(), claims.end());
+        // Only this node knows of a suspect stretch; the one after it would take the keys of that stretch for new.
+        const bool mayLeave = !m_ownership.isSuspect(m_options.validity(), now);
+        const bool isLeaving = m_ownership.owns(m_partition) && mayLeave && (m_isGivingUp || !m_options.isPreferred());
+        const bool isWanted = isAsked || (m_options.isPreferred() && !m_isGivingUp);
         if (isLeaving && batch.claims.empty())
             batch.ownership = OwnershipRecord { "", m_partition.term(), 0 };
         else if (!m_ownership.owns(m_partition) && isWanted && mayOwn(now))
             batch.ownership = m_ownership.takeOver(m_partition, m_options.validity());
         else if (m_ownership.owns(m_partition))
             batch.owner = m_ownership.owner();
+        namePeers(batch, now);
         return batch;
     }
 
+    // The first ask of each free key.
+    std::vector<ClaimRecord> claimsToWrite(std::chrono::steady_clock::time_point now) const
+    {
+        std::vector<ClaimRecord> claims;
+        std::set<std::string> keys;
+        for (const auto& ask : m_asks) {
+            const auto* entry = findEntry(ask.ask.key);
+            const bool isFree = !entry || (entry->outcome && !entry->outcome->status);
+            if (ask.ask.mode == ClaimMode::Claim && isFree && mayOwn(now) && keys.insert(ask.ask.key).second)
+                claims.push_back({ ask.ask.key, ask.ask.attempt, ask.node, ask.validityMs });
+        }
+        return claims;
+    }
+
+    // A batch of the owner, or of the one to be, tells who would be asked for promises.
+    void namePeers(ClaimBatch& batch, std::chrono::steady_clock::time_point now) const
+    {
+        const bool isOwnBatch = !batch.owner.empty() || (batch.ownership && !batch.ownership->owner.empty());
+        if (!isOwnBatch)
+            return;
+        auto peers = m_options.knownPeers();
+        std::sort(peers.begin(), peers.end());
+        if (m_ownership.isNamingDue(m_partition, peers, now))
+            batch.peers = std::move(peers);
+    }
+
     // Appends what waits, or a renewal when one is due. @return true when something was appended.
     bool commit(std::unique_lock<std::mutex>& lock)
     {
@@ -368,7 +397,7 @@
         // first-wins rule makes harmless.
         if (!m_partition.hasApplied(batch.id))
             return true;
-        m_ownership.onAppended(m_partition, start, std::chrono::steady_clock::now());
+        m_ownership.onAppended(m_partition, batch, start, std::chrono::steady_clock::now());
         m_outcomes.erase(m_outcomes.begin(), m_outcomes.begin() + static_cast<std::ptrdiff_t>(batch.outcomes.size()));
         if (m_partition.hasEnded(batch.endedEpisode)) {
             m_memoryClaims.clear();
--- a/libs/claims/include/claims/ClaimOwnership.h
+++ b/libs/claims/include/claims/ClaimOwnership.h
@@ -17,6 +17,14 @@
     bool operator==(const ClaimTiming&) const = default;
 };
 
+/** Ends of a partition's stream, as this process read them. */
+struct StreamEnds {
+    std::optional<int64_t> atStart; /**< Soon after this process started. */
+    std::optional<int64_t> atMaturity; /**< When this node had been listed long enough for every other node to know it. */
+
+    bool operator==(const StreamEnds&) const = default;
+};
+
 /**
  * One node's side of the ownership of a claim partition: when it may take over, when it may grant without the log, and
  * what it has promised to another owner.
@@ -34,13 +42,13 @@
     /** @return true when the log shows this life of this node as the owner. */
     bool owns(const ClaimPartition&) const;
 
-    /** Takes what the log shows after it was read to its end. @param matureOffset see mayTakeOver(). */
-    void onCaughtUp(const ClaimPartition&, TimePoint now, std::optional<int64_t> matureOffset);
+    /** Takes what the log shows after it was read to its end. @param ends see mayTakeOver(). */
+    void onCaughtUp(const ClaimPartition&, TimePoint now, const StreamEnds& ends);
 
     /**
-     * @return true when the partition is free, or when its owner's lease has run out, nothing was promised to it, and this
-     * node was known to the others before the owner's last renewal. The last is so when the renewal stands at or after
-     * the mature offset, which was the end of the stream when this node had long been listed.
+     * @return true when the partition is free, or when its owner's lease has run out, nothing was promised to it, and the
+     * owner knew this life of this node at its last renewal: it named the node since this process started, or it renewed
+     * after this node had long been listed.
      */
     bool mayTakeOver(const ClaimPartition&, Duration validity, TimePoint now) const;
 
@@ -54,7 +62,7 @@
     void onNotAppended(const ClaimBatch&);
 
     /** Notes that a batch, sent at a time, stands in the log. */
-    void onAppended(const ClaimPartition&, TimePoint sent, TimePoint now);
+    void onAppended(const ClaimPartition&, const ClaimBatch&, TimePoint sent, TimePoint now);
 
     /** @return true when the owner's lease should be renewed. */
     bool isRenewalDue(const ClaimPartition&, TimePoint now) const;
@@ -80,17 +88,27 @@
     /** Takes another owner's declaration. @return true when this node promises not to take over. */
     bool promise(const ClaimDeclare&, const ClaimPartition&, TimePoint now);
 
+    /** @return true when another owner may have granted keys that the log does not show. */
+    bool isInDoubt(const ClaimPartition&) const;
+
     /** @return true while this owner can't know whether the one before granted keys that the log does not show. */
     bool isSuspect(Duration validity, TimePoint now) const;
 
+    /** @return true when a batch should name the peers again, as a node that started since can't rely on the last time. */
+    bool isNamingDue(const ClaimPartition&, const std::vector<std::string>& peers, TimePoint now) const;
+
 private:
+    bool wasKnown(const ClaimPartition&) const;
+
     const std::string m_owner;
+    const std::string m_node;
     const ClaimTiming m_timing;
     TimePoint m_leaseEnd {};
     TimePoint m_lastRenewal {};
+    TimePoint m_lastNaming {};
     int64_t m_seenRenewal = 0;
     TimePoint m_renewalRead {};
-    std::optional<int64_t> m_matureOffset;
+    StreamEnds m_ends;
     std::optional<int64_t> m_pendingBase; /**< Base of a take-over whose fate is open. */
     std::string m_episode;
     uint64_t m_round = 0;
--- a/libs/claims/include/claims/ClaimPartition.h
+++ b/libs/claims/include/claims/ClaimPartition.h
@@ -42,6 +42,7 @@
     int64_t term = 0; /**< Claims count only in the term in force, or in the one that the batch's own ownership makes. */
     std::string owner; /**< Who wrote it as the owner, for readers that missed the take-over; else empty. */
     std::optional<OwnershipRecord> ownership;
+    std::vector<std::string> peers; /**< Nodes that the owner would ask for promises; empty when it does not say. */
     std::string endedEpisode; /**< The batch holds everything that was claimed in this stretch without the log. */
     std::vector<ClaimRecord> claims;
     std::vector<ClaimOutcome> outcomes;
@@ -98,6 +99,12 @@
     /** @return the place of the newest record that the owner wrote. */
     int64_t lastRenewal() const { return m_lastRenewal; }
 
+    /** @return the nodes that the owner in force named last as those it asks for promises. */
+    const std::vector<std::string>& namedPeers() const { return m_namedPeers; }
+
+    /** @return the place of the record that named them. */
+    int64_t namedOffset() const { return m_namedOffset; }
+
     /** @return true once the log holds everything claimed in a stretch without it. */
     bool hasEnded(const std::string& episode) const;
 
@@ -117,6 +124,7 @@
     void applyOwnership(const OwnershipRecord&, const LogRecord&);
     void applyClaim(const ClaimRecord&, const LogRecord&);
     void applyOutcome(const ClaimOutcome&);
+    void applyOwnBatch(const ClaimBatch&, const LogRecord&);
     void forgetExpired();
 
     std::unordered_map<std::string, ClaimEntry> m_entries;
@@ -124,6 +132,8 @@
     std::vector<std::string> m_recentBatches;
     std::vector<std::string> m_endedEpisodes;
     std::string m_owner;
+    std::vector<std::string> m_namedPeers;
+    int64_t m_namedOffset = 0;
     int64_t m_term = 0;
     int64_t m_lastRenewal = 0;
     int64_t m_lastRenewalMs = 0;
--- a/libs/claims/src/ClaimOwnership.cpp
+++ b/libs/claims/src/ClaimOwnership.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <base/Hash.h>
 #include <claims/ClaimOwnership.h>
 
@@ -14,6 +15,7 @@
 
 ClaimOwnership::ClaimOwnership(const std::string& node, ClaimTiming timing)
     : m_owner(node + lifeMark + randomId().substr(0, lifeDigits))
+    , m_node(node)
     , m_timing(timing)
 {
 }
@@ -22,9 +24,9 @@
 
 bool ClaimOwnership::owns(const ClaimPartition& partition) const { return partition.owner() == m_owner; }
 
-void ClaimOwnership::onCaughtUp(const ClaimPartition& partition, TimePoint now, std::optional<int64_t> matureOffset)
+void ClaimOwnership::onCaughtUp(const ClaimPartition& partition, TimePoint now, const StreamEnds& ends)
 {
-    m_matureOffset = matureOffset;
+    m_ends = ends;
     if (!owns(partition))
         m_leaseEnd = {};
     if (m_pendingBase && partition.term() != *m_pendingBase)
@@ -44,8 +46,22 @@
     if (partition.owner().empty())
         return true;
     const bool isLapsed = m_seenRenewal > 0 && now - m_renewalRead >= m_timing.lease;
-    const bool wasKnown = m_matureOffset && partition.lastRenewal() >= *m_matureOffset;
-    return isLapsed && wasKnown;
+    return isLapsed && wasKnown(partition);
+}
+
+// An owner that knew this node has asked it for a promise before it granted anything without the log.
+bool ClaimOwnership::wasKnown(const ClaimPartition& partition) const
+{
+    const auto& peers = partition.namedPeers();
+    const bool isNamed = std::find(peers.begin(), peers.end(), m_node) != peers.end();
+    const bool isThisLifeNamed = isNamed && m_ends.atStart && partition.namedOffset() >= *m_ends.atStart;
+    const bool wasMature = m_ends.atMaturity && partition.lastRenewal() >= *m_ends.atMaturity;
+    return isThisLifeNamed || wasMature;
+}
+
+bool ClaimOwnership::isNamingDue(const ClaimPartition& partition, const std::vector<std::string>& peers, TimePoint now) const
+{
+    return partition.namedPeers() != peers || now - m_lastNaming >= m_timing.lease;
 }
 
 OwnershipRecord ClaimOwnership::takeOver(const ClaimPartition& partition, Duration validity)
@@ -62,13 +78,14 @@
         m_pendingBase.reset();
 }
 
-void ClaimOwnership::onAppended(const ClaimPartition& partition, TimePoint sent, TimePoint now)
+void ClaimOwnership::onAppended(const ClaimPartition& partition, const ClaimBatch& batch, TimePoint sent, TimePoint now)
 {
     if (!owns(partition))
         return;
+    if (!batch.peers.empty())
+        m_lastNaming = sent;
     const bool isNewOwner = m_leaseEnd == TimePoint();
-    const bool mayHideClaims = !m_promisedEpisode.empty() && !partition.hasEnded(m_promisedEpisode);
-    if (isNewOwner && mayHideClaims)
+    if (isNewOwner && isInDoubt(partition))
         m_suspectSince = now;
     m_lastRenewal = sent;
     m_leaseEnd = sent + m_timing.lease - m_timing.lease / marginShare;
@@ -130,6 +147,11 @@
     return true;
 }
 
+bool ClaimOwnership::isInDoubt(const ClaimPartition& partition) const
+{
+    return !m_promisedEpisode.empty() && !partition.hasEnded(m_promisedEpisode);
+}
+
 bool ClaimOwnership::isSuspect(Duration validity, TimePoint now) const { return m_suspectSince && now - *m_suspectSince < validity; }
 
 } // namespace bronzeswitch
--- a/libs/claims/src/ClaimPartition.cpp
+++ b/libs/claims/src/ClaimPartition.cpp
@@ -23,7 +23,7 @@
     for (const auto& outcome : batch.outcomes)
         outcomes.push_back({ outcome.key, outcome.attempt, outcome.status, outcome.contentType, outcome.body });
     json value { { "id", batch.id }, { "term", batch.term }, { "owner", batch.owner }, { "claims", claims }, { "outcomes", outcomes },
-        { "ended", batch.endedEpisode } };
+        { "ended", batch.endedEpisode }, { "peers", batch.peers } };
     if (batch.ownership)
         value["ownership"]
             = { { "owner", batch.ownership->owner }, { "base", batch.ownership->base }, { "quiet_ms", batch.ownership->quietMs } };
@@ -38,6 +38,7 @@
         batch.term = value.at("term");
         batch.owner = value.at("owner");
         batch.endedEpisode = value.at("ended");
+        batch.peers = value.value("peers", std::vector<std::string>());
         if (value.contains("ownership"))
             batch.ownership
                 = OwnershipRecord { value["ownership"].at("owner"), value["ownership"].at("base"), value["ownership"].at("quiet_ms") };
@@ -67,19 +68,14 @@
         // Only a reader that missed a take-over, because the log had forgotten it, meets a higher term.
         m_owner = batch->owner;
         m_term = batch->term;
+        m_namedPeers.clear();
     }
     if (batch->ownership)
         applyOwnership(*batch->ownership, record);
     // A batch that takes the partition over has the term that it makes.
     const bool isInTerm = batch->term == m_term || m_term == record.offset;
-    if (isInTerm && !m_owner.empty()) {
-        m_lastRenewal = record.offset;
-        m_lastRenewalMs = record.timeMs;
-        for (const auto& claim : batch->claims)
-            applyClaim(claim, record);
-        if (!batch->endedEpisode.empty())
-            m_endedEpisodes.push_back(batch->endedEpisode);
-    }
+    if (isInTerm && !m_owner.empty())
+        applyOwnBatch(*batch, record);
     for (const auto& outcome : batch->outcomes)
         applyOutcome(outcome);
     m_recentBatches.push_back(batch->id);
@@ -87,6 +83,21 @@
         m_recentBatches.erase(m_recentBatches.begin());
 }
 
+// Takes what only the owner in force may write.
+void ClaimPartition::applyOwnBatch(const ClaimBatch& batch, const LogRecord& record)
+{
+    m_lastRenewal = record.offset;
+    m_lastRenewalMs = record.timeMs;
+    if (!batch.peers.empty()) {
+        m_namedPeers = batch.peers;
+        m_namedOffset = record.offset;
+    }
+    for (const auto& claim : batch.claims)
+        applyClaim(claim, record);
+    if (!batch.endedEpisode.empty())
+        m_endedEpisodes.push_back(batch.endedEpisode);
+}
+
 void ClaimPartition::applyOwnership(const OwnershipRecord& ownership, const LogRecord& record)
 {
     const auto quietSince = std::max(m_lastRenewalMs, m_forgottenUntilMs);
@@ -95,6 +106,7 @@
     if (ownership.owner == m_owner || (!isQuiet && !isOnTerm))
         return;
     m_owner = ownership.owner;
+    m_namedPeers.clear();
     m_term = record.offset;
     m_lastRenewal = record.offset;
     m_lastRenewalMs = record.timeMs;
--- a/libs/claims/tests/ClaimTests.cpp
+++ b/libs/claims/tests/ClaimTests.cpp
@@ -29,7 +29,7 @@
         options.knownPeers = [this] { return std::vector<std::string>(peers); };
         options.declare = [this](const std::string& to, const ClaimDeclare& declaration) { onDeclare(to, declaration); };
         options.validity = [] { return validity; };
-        options.matureOffset = [] { return std::optional<int64_t>(0); };
+        options.streamEnds = [this] { return ends; };
         home = std::make_unique<ClaimHome<MemoryLog>>(0, std::move(log), options);
     }
 
@@ -48,6 +48,7 @@
     }
 
     std::vector<std::string> peers;
+    StreamEnds ends { std::nullopt, 0 };
     std::atomic<bool> isPreferred = true;
     std::function<void(const std::string&, const ClaimDeclare&)> onDeclare = [](const std::string&, const ClaimDeclare&) {};
     std::mutex mutex;
@@ -295,6 +296,7 @@
     auto batch = batchOf("b", { { "k", "a", "n", 5 } }, { { "k", "a", 200, "t", "body" } });
     batch.ownership = OwnershipRecord { "n1#1", 4, 9 };
     batch.endedEpisode = "ep";
+    batch.peers = { "n2", "n3" };
     CHECK(*claimBatchFromJson(toJson(batch)) == batch);
     const nlohmann::json broken[]
         = { nullptr, 3, { { "id", "x" } }, { { "id", "x" }, { "claims", { { 1, 2 } } }, { "outcomes", nlohmann::json::array() } } };
@@ -348,6 +350,28 @@
     CHECK(state == ClaimState::Recorded);
 }
 
+TEST_CASE("an owner that a stretch without the log leaves in doubt keeps the partition until the validity has passed")
+{
+    auto log = std::make_shared<MemoryLog>();
+    Pair pair(log);
+    REQUIRE(pair.first.ask("n1", 1, "a0", ClaimMode::Claim, "earlier").state == ClaimState::Granted);
+    pair.cutLog();
+    REQUIRE(pair.first.ask("n1", 2, "a1").state == ClaimState::Granted);
+    // The owner dies with its grant unwritten; the other takes over and learns that it isn't preferred.
+    pair.first.home.reset();
+    pair.restoreLog();
+    pair.second.isPreferred = true;
+    ClaimState state = ClaimState::Unavailable;
+    for (uint64_t id = 3; state == ClaimState::Unavailable; ++id)
+        state = pair.second.ask("n2", id, "a2").state;
+    CHECK(state == ClaimState::Unknown);
+    pair.second.isPreferred = false;
+    pair.second.home->onMembersChanged();
+    Home restarted(log, "h1", { "h2" });
+    CHECK(restarted.ask("n3", 1, "a3").state != ClaimState::Granted);
+    CHECK(pair.second.home->isOwner());
+}
+
 TEST_CASE("without every promise the owner refuses, and a node that is no owner always does")
 {
     Pair pair(std::make_shared<MemoryLog>());
@@ -372,6 +396,7 @@
 
 const TimePoint zero = TimePoint() + std::chrono::hours(1);
 const ClaimTiming timing { Duration(1000) };
+const StreamEnds longListed { std::nullopt, 0 };
 
 ClaimPartition ownedBy(const std::string& owner)
 {
@@ -386,7 +411,7 @@
 {
     const auto partition = ownedBy("h1#1");
     ClaimOwnership other("h2", timing);
-    other.onCaughtUp(partition, zero, 0);
+    other.onCaughtUp(partition, zero, longListed);
     CHECK_FALSE(other.mayTakeOver(partition, validity, zero + Duration(999)));
     CHECK(other.mayTakeOver(partition, validity, zero + Duration(1000)));
 }
@@ -395,18 +420,61 @@
 {
     const auto partition = ownedBy("h1#1");
     ClaimOwnership young("h2", timing);
-    young.onCaughtUp(partition, zero, std::nullopt);
+    young.onCaughtUp(partition, zero, {});
     CHECK_FALSE(young.mayTakeOver(partition, validity, zero + Duration(5000)));
     ClaimOwnership late("h3", timing);
-    late.onCaughtUp(partition, zero, 2);
+    late.onCaughtUp(partition, zero, { std::nullopt, 2 });
     CHECK_FALSE(late.mayTakeOver(partition, validity, zero + Duration(5000)));
 }
 
+TEST_CASE("a node that the owner has named since it started takes over, however young; an earlier life's name does not count")
+{
+    auto partition = ownedBy("h1#1");
+    auto renewal = batchOf("r", {});
+    renewal.owner = "h1#1";
+    renewal.peers = { "h2", "h3" };
+    partition.apply(record(2, 1000, renewal));
+    struct Case {
+        const char* node;
+        int64_t startEnd;
+        bool mayTakeOver;
+    };
+    const Case cases[] = { { "h2", 1, true }, { "h2", 2, true }, { "h2", 3, false }, { "h4", 1, false }, { "h1", 3, false } };
+    for (const auto& entry : cases) {
+        CAPTURE(entry.node, entry.startEnd);
+        ClaimOwnership young(entry.node, timing);
+        young.onCaughtUp(partition, zero, { entry.startEnd, std::nullopt });
+        CHECK(young.mayTakeOver(partition, validity, zero + Duration(1000)) == entry.mayTakeOver);
+    }
+}
+
+TEST_CASE("the names of an earlier owner's peers say nothing about the next one")
+{
+    auto partition = ownedBy("h1#1");
+    auto renewal = batchOf("r", {});
+    renewal.peers = { "h2", "h3" };
+    partition.apply(record(2, 1000, renewal));
+    partition.apply(record(3, 1000, takeOver("h3#1", 1)));
+    CHECK(partition.namedPeers().empty());
+}
+
+TEST_CASE("the owner names its peers with its take-over, again after a lease and when they change")
+{
+    auto partition = ownedBy("h1#1");
+    auto renewal = batchOf("r", {});
+    renewal.peers = { "h2" };
+    partition.apply(record(2, 1000, renewal));
+    ClaimOwnership owner("h1", timing);
+    owner.onAppended(partition, renewal, zero, zero);
+    CHECK(owner.isNamingDue(partition, { "h2" }, zero + timing.lease));
+    CHECK(owner.isNamingDue(partition, { "h2", "h3" }, zero + Duration(10)));
+}
+
 TEST_CASE("a promise holds for its time, and makes the next owner suspect until the stretch has ended in the log")
 {
     auto partition = ownedBy("h1#1");
     ClaimOwnership other("h2", timing);
-    other.onCaughtUp(partition, zero, 0);
+    other.onCaughtUp(partition, zero, longListed);
     REQUIRE(other.promise({ 0, "h1#1", "ep", 1, 1000 }, partition, zero + Duration(900)));
     CHECK_FALSE(other.mayTakeOver(partition, validity, zero + Duration(1899)));
     CHECK(other.mayTakeOver(partition, validity, zero + Duration(1900)));
@@ -417,7 +485,7 @@
     batch.ownership = record2;
     partition.apply(record(2, 2000, batch));
     REQUIRE(other.owns(partition));
-    other.onAppended(partition, zero + Duration(1900), zero + Duration(1950));
+    other.onAppended(partition, batch, zero + Duration(1900), zero + Duration(1950));
     CHECK(other.isSuspect(Duration(500), zero + Duration(2000)));
     CHECK_FALSE(other.isSuspect(Duration(500), zero + Duration(2450)));
 }
@@ -426,7 +494,7 @@
 {
     const auto partition = ownedBy("h1#1");
     ClaimOwnership other("h2", timing);
-    other.onCaughtUp(partition, zero, 0);
+    other.onCaughtUp(partition, zero, longListed);
     other.takeOver(partition, validity);
     CHECK_FALSE(other.promise({ 0, "h1#1", "ep", 1, 1000 }, partition, zero));
 }
@@ -439,7 +507,7 @@
     batch.id = "t";
     batch.ownership = owner.takeOver(partition, validity);
     partition.apply(record(1, 1000, batch));
-    owner.onAppended(partition, zero, zero);
+    owner.onAppended(partition, batch, zero, zero);
     CHECK_FALSE(owner.mayGrantFromMemory(partition, zero + Duration(100)));
     const auto first = owner.nextDeclaration(partition, 0, { "h2", "h3" }, zero + Duration(500));
     REQUIRE(first);
@@ -459,7 +527,7 @@
     batch.id = "t";
     batch.ownership = owner.takeOver(partition, validity);
     partition.apply(record(1, 1000, batch));
-    owner.onAppended(partition, zero, zero);
+    owner.onAppended(partition, batch, zero, zero);
     int granted = 0;
     int rounds = 0;
     constexpr Duration step { 100 };
--- a/libs/server/src/ClaimClient.cpp
+++ b/libs/server/src/ClaimClient.cpp
@@ -130,10 +130,9 @@
     options.knownPeers = m_options.knownPeers;
     options.declare = [this](const std::string& node, const ClaimDeclare& declaration) { m_options.send(node, declaration); };
     options.validity = m_options.validity;
-    options.matureOffset = [this, partition]() -> std::optional<int64_t> {
-        std::lock_guard lock(m_maturityMutex);
-        const auto found = m_matureOffsets.find(partition);
-        return found == m_matureOffsets.end() ? std::nullopt : std::optional(found->second);
+    options.streamEnds = [this, partition] {
+        std::lock_guard lock(m_endsMutex);
+        return m_streamEnds[partition];
     };
     return options;
 }
@@ -196,22 +195,30 @@
         home->onMembersChanged();
 }
 
-void ClaimHomes::noteMaturity()
+void ClaimHomes::noteStreamEnds()
 {
-    if (std::chrono::steady_clock::now() - m_started < m_options.listLag)
-        return;
+    const bool isMature = std::chrono::steady_clock::now() - m_started >= m_options.listLag;
     for (int partition = 0; partition < m_options.partitions; ++partition) {
-        {
-            std::lock_guard lock(m_maturityMutex);
-            if (m_matureOffsets.contains(partition))
-                continue;
-        }
-        const auto page = m_options.log->read(ClaimPartition::streamOf(partition), streamEnd, 1, Duration(0));
-        if (!page)
+        if (!noteStreamEnd(partition, &StreamEnds::atStart))
             return;
-        std::lock_guard lock(m_maturityMutex);
-        m_matureOffsets[partition] = page->next;
+        if (isMature && !noteStreamEnd(partition, &StreamEnds::atMaturity))
+            return;
+    }
+}
+
+bool ClaimHomes::noteStreamEnd(int partition, std::optional<int64_t> StreamEnds::*end)
+{
+    {
+        std::lock_guard lock(m_endsMutex);
+        if (m_streamEnds[partition].*end)
+            return true;
     }
+    const auto page = m_options.log->read(ClaimPartition::streamOf(partition), streamEnd, 1, Duration(0));
+    if (!page)
+        return false;
+    std::lock_guard lock(m_endsMutex);
+    m_streamEnds[partition].*end = page->next;
+    return true;
 }
 
 void ClaimHomes::giveUp()
--- a/libs/server/src/ClaimClient.h
+++ b/libs/server/src/ClaimClient.h
@@ -94,8 +94,8 @@
     /** Opens the partitions that fall to this node and lets the others look again. */
     void onMembersChanged();
 
-    /** Reads the ends of the streams once this node is old enough to be known everywhere. Blocks on the log. */
-    void noteMaturity();
+    /** Reads the ends of the streams, now and once this node is old enough to be known everywhere. Blocks on the log. */
+    void noteStreamEnds();
 
     /** Gives all partitions up for a graceful shutdown. */
     void giveUp();
@@ -113,14 +113,15 @@
     ClaimHome<NodeLog>* homeFor(const std::string& key) { return home(ClaimPartition::partitionOf(key, m_options.partitions)); }
     ClaimHome<NodeLog>* home(int partition);
     ClaimHome<NodeLog>::Options homeOptions(int partition);
+    bool noteStreamEnd(int partition, std::optional<int64_t> StreamEnds::*end);
     std::vector<ClaimHome<NodeLog>*> homes() const;
 
     Options m_options;
     const TimePoint m_started;
     mutable std::mutex m_mutex;
     std::map<int, std::unique_ptr<ClaimHome<NodeLog>>> m_homes;
-    mutable std::mutex m_maturityMutex;
-    std::map<int, int64_t> m_matureOffsets;
+    std::mutex m_endsMutex;
+    std::map<int, StreamEnds> m_streamEnds;
     bool m_isStopping = false;
 };
 
--- a/libs/server/src/Node.cpp
+++ b/libs/server/src/Node.cpp
@@ -229,6 +229,7 @@
         // Sent between gateway nodes only.
         void operator()(const NodeReport&) const { }
         void operator()(const PlaceQueued&) const { }
+        void operator()(const StateNews&) const { }
         void operator()(const StateAsk&) const { node.offerState(from); }
         void operator()(const StateOffer& message) const { node.takeState(message); }
         // Links and heartbeats are the mesh's own matter.
@@ -317,7 +318,7 @@
         while (m_isRunning) {
             if (const auto vms = m_vmList.list())
                 m_mesh->update(*vms);
-            m_claimHomes->noteMaturity();
+            m_claimHomes->noteStreamEnds();
             const auto now = std::chrono::steady_clock::now();
             if (now >= nextCompaction) {
                 nextCompaction = now + compactionInterval;
--- a/libs/server/tests/SystemTests.cpp
+++ b/libs/server/tests/SystemTests.cpp
@@ -191,7 +191,7 @@
     CHECK(accepted > 0);
 }
 
-TEST_CASE("after a fast restart of a node the keys whose owner it was are served again", "[.restarted-owner]")
+TEST_CASE("after a fast restart of a node the keys whose owner it was are served again", "[restarted-owner]")
 {
     Site site;
     REQUIRE(site.waitForOwners());
--- a/models/outage.pml
+++ b/models/outage.pml
@@ -7,7 +7,10 @@
  * Owner:  ClaimOwnership::nextDeclaration, onAck, mayGrantFromMemory; ClaimHome::answerForFreeKey, makeBatch (flush).
  * Other:  ClaimOwnership::promise, mayTakeOver, onAppended (suspect); ClaimHome::answerForFreeKey.
  *
- * Mutants: NO_SUSPECT vouches for keys after any take-over; NO_PROMISE grants from memory without asking the other node.
+ * Restarted: ClaimOwnership::wasKnown; ClaimHome::makeBatch (an owner in doubt does not give the partition up).
+ *
+ * Mutants: NO_SUSPECT vouches for keys after any take-over; NO_PROMISE grants from memory without asking the other node;
+ * RELEASE_SUSPECT gives a partition up that is in doubt; UNKNOWN_TAKES_OVER lets a life that was never asked take over.
  */
 bool ownerSeesLog = true; bool otherSeesLog = true;
 byte logOwner = 1;            /* owner by log order */
@@ -55,6 +58,24 @@
        }
     :: atomic { otherSeesLog && logOwner == 2 && logClaim == 0 && !suspect -> logClaim = 2 }; dispatches++; break
     :: logOwner == 2 && (suspect || logClaim != 0) -> break
+#ifdef RELEASE_SUSPECT
+    :: atomic { otherSeesLog && logOwner == 2 -> logOwner = 0 }; break
+#else
+    :: atomic { otherSeesLog && logOwner == 2 && !suspect -> logOwner = 0 }; break
+#endif
+    :: true -> break
+    od
+}
+
+/* A life that started after the stretch and remembers no promise. */
+proctype Restarted() {
+    do
+    :: atomic { logOwner == 0 -> logOwner = 3 }
+#ifdef UNKNOWN_TAKES_OVER
+    :: atomic { logOwner == 1 && !lease && !extension -> logOwner = 3 }
+#endif
+    :: atomic { logOwner == 3 && logClaim == 0 -> logClaim = 3 }; dispatches++; break
+    :: logOwner == 3 && logClaim != 0 -> break
     :: true -> break
     od
 }
@@ -69,6 +90,6 @@
     od
 }
 
-init { atomic { run Owner(); run Other(); run World() } }
+init { atomic { run Owner(); run Other(); run Restarted(); run World() } }
 
 ltl atMostOnce { [] (dispatches <= 1) }
