Announce changes of the directory to all nodes in a datagram

Each node also waited for its own turn to read what another had read long before.

Change: the node that first reads a material change of an engine's entry sends the record to all peers, which take it if it is newer than theirs; polling and fetching stay as they were.

Conclusion: sharing what was read costs one datagram a change and shortens the wait to the shortest of all nodes' polls.

--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -39,6 +39,7 @@
     struct StateSource {
         std::function<std::string()> encode; /**< @return all state that this node holds. */
         std::function<void(const std::string&)> take; /**< Takes a peer's state; what is older is ignored. */
+        std::function<void(const std::string&)> takeNews; /**< Takes changes that a peer has announced. */
     };
 
     /** @return the node, which listens on its ports, or why it can't. */
@@ -50,8 +51,11 @@
     /** Puts a version of the routing in force, if it is newer. @return false if it is not. */
     bool applyRouting(RoutingTablePointer);
 
-    /** Lets a function change the directory; schedulers follow if it returns true. */
-    void changeDirectory(const std::function<bool(UpstreamDirectory&)>&);
+    /** Lets a function change the directory; schedulers follow if it returns true. @return what the function returned. */
+    bool changeDirectory(const std::function<bool(UpstreamDirectory&)>&);
+
+    /** Tells every peer of changes that this node has just read. @param changes as the source encodes them. */
+    void announce(const std::string& changes);
 
     /** Notes up to where the directory's changes have been read. */
     void setDirectoryOffset(int64_t offset);
@@ -64,6 +68,7 @@
     DecisionLog& log() { return m_log; }
     Metrics& metrics() { return m_metrics; }
     HttpClientPool& clients() { return m_clients; }
+    const UpstreamDirectory& directory() const { return m_context.directory; }
     Executor executor() { return m_context.executor; }
     const RoutingTablePointer& routing() const { return m_context.routing; }
     asio::ip::tcp::endpoint callerEndpoint() const { return m_callers->endpoint(); }
@@ -85,6 +90,7 @@
     Duration memory() const;
     void rememberUsage(const NodeReport&);
     void send(const std::string& address, const Message&);
+    void sendToAll(const Message&);
     std::optional<QuotaRefusal> takeQuota(const GatewayOrganisation&, int tokens);
     void run(const char* name, Task<void>);
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -134,18 +134,22 @@
     return true;
 }
 
-void GatewayNode::changeDirectory(const std::function<bool(UpstreamDirectory&)>& change)
+bool GatewayNode::changeDirectory(const std::function<bool(UpstreamDirectory&)>& change)
 {
     const bool wasReady = isReady();
     if (!change(m_context.directory))
-        return;
+        return false;
     m_log.write(events::upstreamsChanged, { { "upstreams", m_context.directory.entries().size() }, { "offset", m_directoryOffset } });
     if (m_context.routing)
         m_places.configure(*m_context.routing, m_context.directory);
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
+    return true;
 }
 
+// Nodes read their source at different moments, so the first to read a change spares the others the rest of their wait.
+void GatewayNode::announce(const std::string& changes) { sendToAll(StateNews { changes }); }
+
 WholeAnswer GatewayNode::answerReadiness() const
 {
     return isReady() ? plainAnswer(httpstatus::ok, "ready") : plainAnswer(httpstatus::serviceUnavailable, "not ready");
@@ -173,6 +177,10 @@
         m_log.write(events::recordSkipped, { { "from", text(from) }, { "reason", message.error().message } });
         return;
     }
+    if (const auto* news = std::get_if<StateNews>(&*message)) {
+        m_source.takeNews(news->changes);
+        return;
+    }
     const auto* report = std::get_if<NodeReport>(&*message);
     if (!report) {
         m_places.onMessage(text(from), *message);
@@ -191,6 +199,16 @@
         m_datagrams->send({ endpoint->address(), endpoint->port() }, encode(message));
 }
 
+void GatewayNode::sendToAll(const Message& message)
+{
+    const auto bytes = encode(message);
+    for (const auto& address : m_peers.addresses()) {
+        const auto endpoint = parseEndpoint(address);
+        if (endpoint)
+            m_datagrams->send({ endpoint->address(), endpoint->port() }, bytes);
+    }
+}
+
 std::string GatewayNode::homeOf(const std::string& pool) const
 {
     auto members = m_peers.members();
@@ -241,12 +259,7 @@
         if (isDue) {
             quiet = 0;
             last = report;
-            const auto bytes = encode(report);
-            for (const auto& address : m_peers.addresses()) {
-                const auto endpoint = parseEndpoint(address);
-                if (endpoint)
-                    m_datagrams->send({ endpoint->address(), endpoint->port() }, bytes);
-            }
+            sendToAll(report);
         }
         const auto crowd = std::max<std::size_t>(1, m_peers.addresses().size() / nodesAtFullRate);
         co_await sleepFor(m_context.executor, reportInterval * crowd);
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -236,6 +236,13 @@
     bool operator==(const NodeReport&) const = default;
 };
 
+/** Changes of the state that a node has just read from its source; passed on so that peers needn't wait for their own turn. */
+struct StateNews {
+    std::string changes; /**< As the source encodes them. */
+
+    bool operator==(const StateNews&) const = default;
+};
+
 /** Stops a version at once on every node; the durable take-back follows through the log. */
 struct RolloutAlarm {
     std::string rollout;
@@ -244,8 +251,9 @@
     bool operator==(const RolloutAlarm&) const = default;
 };
 
-using Message = std::variant<Hello, Heartbeat, HeartbeatAck, StateAsk, StateOffer, PlaceAsk, PlaceGrant, PlaceRefuse, PlaceCancel,
-    PlaceDone, PlaceHeld, ClaimAsk, ClaimAnswer, ClaimOutcome, RolloutAlarm, ClaimDeclare, ClaimDeclareAck, NodeReport, PlaceQueued>;
+using Message
+    = std::variant<Hello, Heartbeat, HeartbeatAck, StateAsk, StateOffer, PlaceAsk, PlaceGrant, PlaceRefuse, PlaceCancel, PlaceDone,
+        PlaceHeld, ClaimAsk, ClaimAnswer, ClaimOutcome, RolloutAlarm, ClaimDeclare, ClaimDeclareAck, NodeReport, PlaceQueued, StateNews>;
 
 /** @return the message as a CBOR array: its type number, then its fields. */
 std::string encode(const Message&);
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -22,6 +22,8 @@
         return std::tie();
     else if constexpr (std::is_same_v<Type, StateOffer>)
         return std::tie(message.state);
+    else if constexpr (std::is_same_v<Type, StateNews>)
+        return std::tie(message.changes);
     else if constexpr (std::is_same_v<Type, PlaceAsk>)
         return std::tie(message.id, message.pool, message.route, message.organisation, message.rank, message.promptTokens,
             message.outputTokens, message.deadlineMs, message.prefixes, message.excluded, message.isForced, message.targetMs,
--- a/libs/protocol/tests/MessageTests.cpp
+++ b/libs/protocol/tests/MessageTests.cpp
@@ -20,7 +20,7 @@
         ClaimDeclareAck { 3, "ep", 2 },
         NodeReport { "n1", "honda", 1790000000000, 4, true, false, 7, 40, { { "e1", 3, 120, 2500 } }, { { "north", 900, { 300, 0, 20 } } },
             { "127.0.0.1:9" }, 8000, 400 },
-        PlaceQueued { 7 } };
+        PlaceQueued { 7 }, StateNews { std::string("\x81\0", 2) } };
 }
 
 } // namespace
