Carry out roll-outs that are ordered through the store

Cause: nothing read the operator's orders, so new versions got an even share of the requests from their first entry on, bad ones were never taken back and good ones never completed.

A bad version is stopped by whoever finds it, within a report's time. All requests move only when what is left of the time fits the bound on exposure, as a version may turn bad late.

Weighed: samples sent to one judging node (lost with it); shares decided at homes by each node's own counts (nine nodes with a dozen requests each find nothing); moving in steps (a late fault then breaks the bound).

Found on the way, each by a case that failed first: upstreams that report their load kept the role they had first, so rules on versions did not reach the scheduler; a version that had too many requests early was neither moved to nor taken back.

Conclusion: the trial's counts belong to all nodes, the verdict to each.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -63,6 +63,8 @@
     "A version was stopped on this node because a fault showed." };
 inline constexpr Event rolloutTakenBack { 502, "rollout-taken-back", EventLevel::Warning, "A rollout was taken back." };
 inline constexpr Event rolloutFinished { 503, "rollout-finished", EventLevel::Info, "A rollout has finished." };
+inline constexpr Event rolloutRecorded { 504, "rollout-recorded", EventLevel::Info,
+    "A rollout's state was written to the durable record." };
 inline constexpr Event orderAccepted { 510, "order-accepted", EventLevel::Info, "An upstream has loaded the ordered version." };
 inline constexpr Event orderRefused { 511, "order-refused", EventLevel::Warning, "An upstream refused an order." };
 inline constexpr Event requestDispatched { 600, "request-dispatched", EventLevel::Info, "A request was sent to an upstream." };
--- a/libs/base/src/EventLog.cpp
+++ b/libs/base/src/EventLog.cpp
@@ -16,8 +16,9 @@
     events::routingInvalid, events::recordSkipped, events::upstreamsChanged, events::dependencyLost, events::dependencyRegained,
     events::stateFetched, events::membersChanged, events::homeTaken, events::homeLeft, events::upstreamUnreachable, events::answerDropped,
     events::streamResumed, events::outcomeUnclear, events::rolloutStep, events::rolloutAlarm, events::rolloutTakenBack,
-    events::rolloutFinished, events::orderAccepted, events::orderRefused, events::requestDispatched, events::requestAnswered,
-    events::requestRefused, events::requestFailed, events::requestRejected, events::dispatchUnsuccessful, events::callerLeft };
+    events::rolloutFinished, events::rolloutRecorded, events::orderAccepted, events::orderRefused, events::requestDispatched,
+    events::requestAnswered, events::requestRefused, events::requestFailed, events::requestRejected, events::dispatchUnsuccessful,
+    events::callerLeft };
 
 log4cplus::Logger& logger()
 {
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include <gateway/PlaceDesk.h>
 #include <gateway/QuotaAccount.h>
 #include <gateway/RetryBudget.h>
+#include <gateway/RolloutDesk.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/UpstreamDirectory.h>
 #include <gateway/WireDialect.h>
@@ -32,6 +33,7 @@
     RetryAllowance retries;
     QuotaBounds quotas;
     CallerPatience callerPatience;
+    ExposureBounds exposure;
     Duration drainTime { 2500 }; /**< From the stop signal until no connection is taken any more. */
     Duration stopTime { 7000 }; /**< From the stop signal until what still runs is given up. */
 
@@ -48,6 +50,7 @@
     Metrics& metrics;
     HttpClientPool& upstreams;
     PlaceDesk& places;
+    RolloutDesk& rollouts;
     RoutingTablePointer routing;
     UpstreamDirectory directory;
     std::map<std::string, RetryBudget> retryBudgets;
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -68,6 +68,11 @@
     DecisionLog& log() { return m_log; }
     Metrics& metrics() { return m_metrics; }
     HttpClientPool& clients() { return m_clients; }
+    RolloutDesk& rollouts() { return m_rollouts; }
+
+    /** @return what should be recorded durably of the rollouts now. */
+    std::vector<RolloutStatus> dueRolloutRecords() const;
+
     const UpstreamDirectory& directory() const { return m_context.directory; }
     Executor executor() { return m_context.executor; }
     const RoutingTablePointer& routing() const { return m_context.routing; }
@@ -91,6 +96,10 @@
     void rememberUsage(const NodeReport&);
     void send(const std::string& address, const Message&);
     void sendToAll(const Message&);
+    void configurePlaces();
+    void advanceRollouts(TimePoint now);
+    bool isRolloutLeader(const std::string& service) const;
+    bool isOldVersionIdle(const std::string& service) const;
     std::optional<QuotaRefusal> takeQuota(const GatewayOrganisation&, int tokens);
     void run(const char* name, Task<void>);
 
@@ -100,6 +109,7 @@
     Metrics m_metrics;
     HttpClientPool m_clients;
     PlaceDesk m_places;
+    RolloutDesk m_rollouts;
     GatewayContext m_context;
     PeerView m_peers;
     StateSource m_source;
--- a/libs/gateway/include/gateway/PlaceDesk.h
+++ b/libs/gateway/include/gateway/PlaceDesk.h
@@ -3,6 +3,7 @@
 #include <gateway/DecisionLog.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/UpstreamDirectory.h>
+#include <gateway/VersionRule.h>
 #include <net/Async.h>
 #include <protocol/Messages.h>
 #include <sched/PoolScheduler.h>
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 
 namespace bronzeswitch {
 
@@ -38,8 +40,14 @@
     /** Connects the desk with other nodes. @param node this node's peer address. */
     void connect(std::string node, Links);
 
-    /** Takes new routes or upstreams. */
-    void configure(const RoutingTable&, const UpstreamDirectory&);
+    /** Takes new routes, upstreams or rules on versions. */
+    void configure(const RoutingTable&, const UpstreamDirectory&, const VersionRules& = {});
+
+    /** Lets a service's new version get so many more places, over all nodes. @param nodes that share a service without a home. */
+    void allowCandidate(const std::string& service, const std::string& rollout, int64_t places, int nodes);
+
+    /** @return true when no node runs a request at an upstream, as far as this node knows. */
+    bool isIdle(const std::string& service, const std::string& upstream) const;
 
     /**
      * Waits for a place.
@@ -115,9 +123,11 @@
     std::map<uint64_t, std::string> m_grantors; /**< Who granted the places that this node uses. */
     std::map<std::string, int> m_running; /**< Requests that this node runs, by upstream. */
     uint64_t m_lastAskId = 0;
+    std::minstd_rand m_random;
 };
 
-/** @return what the scheduler of a service needs. @param dataCentre of the deciding node. */
-PoolPlan makePoolPlan(const RoutingTable&, const UpstreamDirectory&, const GatewayService&, const std::string& dataCentre);
+/** @return what the scheduler of a service needs. @param dataCentre of the deciding node. @param rule null when there is none. */
+PoolPlan makePoolPlan(
+    const RoutingTable&, const UpstreamDirectory&, const GatewayService&, const std::string& dataCentre, const VersionRule* rule = nullptr);
 
 } // namespace bronzeswitch
--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -20,6 +20,7 @@
     std::string version;
     int slots = 0;
     bool isDraining = false;
+    bool isWarmingUp = false; /**< Slow since it has just started. */
     int64_t startedAt = 0; /**< Unix milliseconds of its start, 0 if it doesn't tell. */
 
     bool operator==(const UpstreamEntry&) const = default;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <base/Hash.h>
 #include <base/HttpStatus.h>
 #include <gateway/GatewayNode.h>
@@ -53,8 +54,9 @@
     , m_log(m_options.node, writer, m_options.logLinesPerSecond)
     , m_clients(loop.get_executor(), {})
     , m_places(loop.get_executor(), m_options.dataCentre, m_log)
-    , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(dialect), m_log, m_metrics, m_clients, m_places, nullptr,
-        {}, {}, [this] { return m_peers.knownNodes(); },
+    , m_rollouts(m_options.bounds.exposure, m_log)
+    , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(dialect), m_log, m_metrics, m_clients, m_places,
+        m_rollouts, nullptr, {}, {}, [this] { return m_peers.knownNodes(); },
         [this](const GatewayOrganisation& organisation, int tokens) { return takeQuota(organisation, tokens); } }
     , m_peers({ .usageWindow = m_options.bounds.quotas.window })
     , m_started(monotonicNow())
@@ -128,20 +130,25 @@
     const bool wasReady = isReady();
     m_log.write(events::routingInForce, { { "version", table->version() }, { "before", current ? current->version() : 0 } });
     m_context.routing = std::move(table);
-    m_places.configure(*m_context.routing, m_context.directory);
+    configurePlaces();
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
     return true;
 }
 
+void GatewayNode::configurePlaces()
+{
+    if (m_context.routing)
+        m_places.configure(*m_context.routing, m_context.directory, m_rollouts.rules());
+}
+
 bool GatewayNode::changeDirectory(const std::function<bool(UpstreamDirectory&)>& change)
 {
     const bool wasReady = isReady();
     if (!change(m_context.directory))
         return false;
     m_log.write(events::upstreamsChanged, { { "upstreams", m_context.directory.entries().size() }, { "offset", m_directoryOffset } });
-    if (m_context.routing)
-        m_places.configure(*m_context.routing, m_context.directory);
+    configurePlaces();
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
     return true;
@@ -188,6 +195,7 @@
     }
     if (m_peers.onReport(text(from), *report, monotonicNow()))
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.nodes() } });
+    m_rollouts.setPeerReports(text(from), report->incarnation, report->rollouts, monotonicNow());
     rememberUsage(*report);
     m_places.setPeerLoads(text(from), report->loads);
 }
@@ -234,6 +242,7 @@
         report.usage.push_back({ organisation, account.ownTokens(), account.recentTokens(now) });
     report.memoryMs = memory().count();
     report.upMs = std::chrono::duration_cast<Duration>(now - m_started).count();
+    report.rollouts = m_rollouts.reports(now);
     if (withPeers) {
         report.peers = m_peers.live();
         if (report.peers.size() > peersNamed)
@@ -255,6 +264,8 @@
         comparable.peers = last.peers;
         comparable.memoryMs = last.memoryMs;
         comparable.upMs = last.upMs;
+        for (std::size_t index = 0; index < std::min(comparable.rollouts.size(), last.rollouts.size()); ++index)
+            comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
         const bool isDue = withPeers || comparable != last || ++quiet >= idleReportFactor;
         if (isDue) {
             quiet = 0;
@@ -278,6 +289,7 @@
         for (const auto& address : lost)
             m_places.peerLost(address);
         changeDirectory([&](UpstreamDirectory& directory) { return directory.expire(now); });
+        advanceRollouts(now);
         m_places.tick();
         m_writer.flush();
         if (now < nextSweep)
@@ -287,6 +299,36 @@
     }
 }
 
+void GatewayNode::advanceRollouts(TimePoint now)
+{
+    const auto isLeader = [this](const std::string& service) { return isRolloutLeader(service); };
+    const auto isIdle = [this](const std::string& service) { return isOldVersionIdle(service); };
+    if (!m_rollouts.tick(now, isLeader, isIdle).empty())
+        configurePlaces();
+    for (const auto& [service, rule] : m_rollouts.rules()) {
+        if (rule.phase == RolloutPhase::Trial)
+            m_places.allowCandidate(service, rule.rollout, m_rollouts.headroom(service), m_peers.nodes());
+    }
+}
+
+std::vector<RolloutStatus> GatewayNode::dueRolloutRecords() const
+{
+    return m_rollouts.due(monotonicNow(), [this](const std::string& service) { return isRolloutLeader(service); });
+}
+
+bool GatewayNode::isRolloutLeader(const std::string& service) const { return homeOf("rollout/" + service) == peerAddress(); }
+
+bool GatewayNode::isOldVersionIdle(const std::string& service) const
+{
+    const auto rules = m_rollouts.rules();
+    const auto rule = rules.find(service);
+    const auto& entries = m_context.directory.entries();
+    return rule != rules.end() && std::all_of(entries.begin(), entries.end(), [&](const auto& item) {
+        const auto& [id, entry] = item;
+        return entry.service != service || entry.version == rule->second.target || m_places.isIdle(service, id);
+    });
+}
+
 // The directory changes all the time, so an offset that rests while peers go on shows that its source is out of reach.
 bool GatewayNode::isBehind(std::string& address) const
 {
--- a/libs/gateway/src/PlaceDesk.cpp
+++ b/libs/gateway/src/PlaceDesk.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr const char* stableVersion = "stable";
+constexpr const char* candidateVersion = "candidate";
+constexpr const char* retiredVersion = "retired"; // Gets nothing.
 constexpr double millisecondsPerSecond = 1000;
 constexpr NominalSpeed engineSpeed { 55000, 3.6 };
 constexpr double lowerRankShare = 0.1;
@@ -15,7 +17,26 @@
 constexpr Duration askAgain { 250 }; // To a home at which the ask waits.
 constexpr int plainServiceSlots = 6; // Used when neither the service nor its upstream tells a number.
 
-Upstream makeUpstream(const UpstreamEntry& entry, const GatewayService& service)
+// What a version's upstreams may get; a service whose new version has no upstream left stays with the old one while it moves.
+const char* roleOf(const std::string& version, const VersionRule* rule, bool hasTarget)
+{
+    if (!rule)
+        return stableVersion;
+    const bool isTarget = version == rule->target;
+    switch (rule->phase) {
+    case RolloutPhase::Trial:
+        return isTarget ? candidateVersion : stableVersion;
+    case RolloutPhase::TakenBack:
+        return isTarget ? retiredVersion : stableVersion;
+    case RolloutPhase::Moving:
+        return isTarget || !hasTarget ? stableVersion : retiredVersion;
+    case RolloutPhase::Completed:
+        break;
+    }
+    return isTarget ? stableVersion : retiredVersion;
+}
+
+Upstream makeUpstream(const UpstreamEntry& entry, const GatewayService& service, const char* role)
 {
     Upstream upstream;
     upstream.name = entry.id;
@@ -24,7 +45,8 @@
     upstream.dataCentre = entry.dataCentre;
     upstream.pool = service.name;
     upstream.model = service.name;
-    upstream.version = stableVersion;
+    upstream.version = role;
+    upstream.reportsLoad = false; // What it reports names no version.
     upstream.slots = entry.slots > 0 ? entry.slots : std::max(service.engineSlots, plainServiceSlots);
     upstream.leaving = entry.isDraining;
     return upstream;
@@ -32,19 +54,26 @@
 
 } // namespace
 
-PoolPlan makePoolPlan(
-    const RoutingTable& table, const UpstreamDirectory& directory, const GatewayService& service, const std::string& dataCentre)
+PoolPlan makePoolPlan(const RoutingTable& table, const UpstreamDirectory& directory, const GatewayService& service,
+    const std::string& dataCentre, const VersionRule* rule)
 {
     PoolPlan plan;
     plan.dataCentre = dataCentre;
     plan.nominalSpeed = engineSpeed;
     plan.lowerRankShare = lowerRankShare;
-    for (const auto& [id, entry] : directory.entries()) {
+    const auto& entries = directory.entries();
+    const bool hasTarget = rule && std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
+        return item.second.service == service.name && item.second.version == rule->target && !item.second.isDraining;
+    });
+    for (const auto& [id, entry] : entries) {
         if (entry.service == service.name)
-            plan.upstreams.push_back(makeUpstream(entry, service));
+            plan.upstreams.push_back(makeUpstream(entry, service, roleOf(entry.version, rule, hasTarget)));
+    }
+    const bool isTrial = rule && rule->phase == RolloutPhase::Trial;
+    for (const auto* route : table.routesOf(service.name)) {
+        plan.versions.push_back(
+            { route->name, service.name, stableVersion, isTrial ? candidateVersion : "", 0, isTrial ? rule->rollout : "", 0 });
     }
-    for (const auto* route : table.routesOf(service.name))
-        plan.versions.push_back({ route->name, service.name, stableVersion, "", 0, "", 0 });
     for (const auto& organisation : table.document().organisations)
         plan.organisations.push_back({ organisation.name, 1, "" });
     // The time of an answer depends on its size here, so latency alone says nothing about overload.
@@ -66,7 +95,7 @@
     m_links = std::move(links);
 }
 
-void PlaceDesk::configure(const RoutingTable& table, const UpstreamDirectory& directory)
+void PlaceDesk::configure(const RoutingTable& table, const UpstreamDirectory& directory, const VersionRules& rules)
 {
     const auto now = monotonicNow();
     std::set<std::string> names;
@@ -74,7 +103,9 @@
         names.insert(service.name);
         m_isShared[service.name] = service.isEngine();
         auto& pool = m_pools.try_emplace(service.name, now).first->second;
-        carryOut(pool.configure(makePoolPlan(table, directory, service, m_dataCentre), now));
+        const auto rule = rules.find(service.name);
+        const auto* known = rule == rules.end() ? nullptr : &rule->second;
+        carryOut(pool.configure(makePoolPlan(table, directory, service, m_dataCentre, known), now));
     }
     for (auto pool = m_pools.begin(); pool != m_pools.end();) {
         if (names.contains(pool->first)) {
@@ -87,6 +118,23 @@
     }
 }
 
+// Without a home each node gets its part; the remainder falls to each node in turn by chance, so that small numbers aren't lost.
+void PlaceDesk::allowCandidate(const std::string& service, const std::string& rollout, int64_t places, int nodes)
+{
+    auto* pool = find(service);
+    if (!pool)
+        return;
+    const int64_t deciders = m_isShared[service] ? 1 : std::max(1, nodes);
+    const auto remainder = std::uniform_int_distribution<int64_t>(0, deciders - 1)(m_random);
+    pool->allowCandidate(rollout, (places + remainder) / deciders);
+}
+
+bool PlaceDesk::isIdle(const std::string& service, const std::string& upstream) const
+{
+    const auto pool = m_pools.find(service);
+    return pool == m_pools.end() || pool->second.load(upstream) == 0;
+}
+
 PoolScheduler* PlaceDesk::find(const std::string& pool)
 {
     const auto found = m_pools.find(pool);
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -289,6 +289,7 @@
     ++m_attempts;
     current.sent = monotonicNow();
     current.wasSent = true;
+    m_context.rollouts.onSent(m_service, m_route->name, current.upstream.version);
     auto head = co_await readOwnHead(current, *ready.connection, makeRequest(current));
     if (!head)
         co_return failureOutcome(current, head.error());
@@ -444,6 +445,24 @@
         done.betweenTokensUs = static_cast<int>(perToken * microsecondsPerSecond);
     }
     m_context.places.release(current.grant.upstream, done);
+    tellVersion(current, outcome, done.betweenTokensUs / millisecondsPerSecond);
+}
+
+// Broken connections say nothing of a version, and neither does the time of an upstream that warms up.
+void RequestTask::tellVersion(const Dispatch& current, Outcome outcome, double betweenTokensMs)
+{
+    const bool isOwnAnswer = outcome == Outcome::Answered || outcome == Outcome::Failed;
+    const bool wasWaitedFor = outcome == Outcome::CallerGone && current.wasSent;
+    if (!isOwnAnswer && !wasWaitedFor)
+        return;
+    VersionAnswer answer;
+    answer.isFailed = outcome == Outcome::Failed;
+    if (!current.upstream.isWarmingUp) {
+        const auto until = current.firstByte > current.sent ? current.firstByte : monotonicNow();
+        answer.firstByteMs = toMs(until - current.sent);
+        answer.betweenTokensMs = betweenTokensMs;
+    }
+    m_context.rollouts.onAnswer(m_service, m_route->name, current.upstream.version, answer);
 }
 
 Task<bool> RequestTask::answerAfterFailure(Outcome worst)
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -61,6 +61,7 @@
     Task<bool> beginStream(const AnswerHead&);
     Outcome failureOutcome(Dispatch&, const Error&) const;
     void finishPlace(const Dispatch&, Outcome);
+    void tellVersion(const Dispatch&, Outcome, double betweenTokensMs);
     bool mayRepeat(Outcome, const Dispatch&);
     bool mayRunAgain() const;
     OutgoingRequest makeRequest(const Dispatch&) const;
--- /dev/null
+++ b/libs/gateway/src/RolloutDesk.cpp
@@ -0,0 +1,240 @@
+#include <algorithm>
+#include <gateway/RolloutDesk.h>
+#include <trial/LatencyBuckets.h>
+
+namespace bronzeswitch {
+
+namespace {
+
+constexpr Duration othersWriteAfter { 1500 }; // When the node whose task it is may not reach the record.
+
+bool isOver(RolloutPhase phase) { return phase == RolloutPhase::TakenBack || phase == RolloutPhase::Completed; }
+
+void count(std::vector<int64_t>& buckets, double milliseconds)
+{
+    if (milliseconds <= 0)
+        return;
+    const auto index = LatencyBuckets::indexOf(milliseconds);
+    if (buckets.size() <= index)
+        buckets.resize(index + 1);
+    ++buckets[index];
+}
+
+} // namespace
+
+RolloutDesk::RolloutDesk(ExposureBounds bounds, DecisionLog& log)
+    : m_bounds(bounds)
+    , m_log(log)
+{
+}
+
+bool RolloutDesk::takeOrder(const RolloutOrder& order, TimePoint now)
+{
+    const auto known = m_states.find(order.service);
+    if (known != m_states.end() && known->second.rollout.order().id >= order.id)
+        return false;
+    m_states.erase(order.service);
+    m_states.try_emplace(order.service, order, m_bounds, now);
+    m_log.write(events::rolloutStep,
+        { { "service", order.service }, { "order", order.id }, { "target", order.target }, { "durationMs", order.duration.count() },
+            { "phase", toString(RolloutPhase::Trial) } });
+    return true;
+}
+
+void RolloutDesk::takeRecord(const std::string& service, int64_t order, std::optional<RolloutPhase> phase)
+{
+    const auto found = m_states.find(service);
+    if (found == m_states.end() || found->second.rollout.order().id != order)
+        return;
+    auto& state = found->second;
+    state.isRecordRead = true;
+    if (phase)
+        state.recorded = phase;
+    if (phase && isOver(*phase))
+        state.rollout.adopt(*phase);
+}
+
+VersionTally* RolloutDesk::tallyOf(const std::string& service, const std::string& route, const std::string& version)
+{
+    const auto found = m_states.find(service);
+    if (found == m_states.end())
+        return nullptr;
+    auto& state = found->second;
+    if (state.recorded && isOver(*state.recorded))
+        return nullptr;
+    auto& tally = state.own.try_emplace(route, RouteTally { route, {}, {} }).first->second;
+    return version == state.rollout.order().target ? &tally.candidate : &tally.stable;
+}
+
+void RolloutDesk::onSent(const std::string& service, const std::string& route, const std::string& version)
+{
+    if (auto* tally = tallyOf(service, route, version))
+        ++tally->sent;
+}
+
+void RolloutDesk::onAnswer(const std::string& service, const std::string& route, const std::string& version, const VersionAnswer& answer)
+{
+    auto* tally = tallyOf(service, route, version);
+    if (!tally)
+        return;
+    ++(answer.isFailed ? tally->failed : tally->answered);
+    if (answer.isFailed)
+        return;
+    count(tally->firstByte, answer.firstByteMs);
+    count(tally->betweenTokens, answer.betweenTokensMs);
+}
+
+void RolloutDesk::setPeerReports(const std::string& peer, int64_t incarnation, const std::vector<RolloutReport>& reports, TimePoint now)
+{
+    auto& known = m_incarnations[peer];
+    const bool isRestarted = known != incarnation;
+    known = incarnation;
+    for (auto& [service, state] : m_states) {
+        const auto before = state.peers.find(peer);
+        if (isRestarted && before != state.peers.end()) {
+            for (const auto& tally : before->second.routes) {
+                auto& sum = state.retired.try_emplace(tally.route, RouteTally { tally.route, {}, {} }).first->second;
+                sum = sum + tally;
+            }
+            state.peers.erase(before);
+        }
+    }
+    for (const auto& report : reports) {
+        // A node that the durable record turns away learns of an order this way.
+        takeOrder({ report.service, report.target, Duration(report.durationMs), report.order }, now);
+        auto& state = m_states.at(report.service);
+        if (state.rollout.order().id != report.order)
+            continue;
+        state.peers[peer] = report;
+        state.started = std::min(state.started, now - Duration(report.elapsedMs));
+        const auto phase = state.rollout.phase();
+        state.rollout.adopt(report.phase);
+        logPhase(state, phase, now);
+    }
+}
+
+std::vector<RouteTally> RolloutDesk::totals(const State& state) const
+{
+    auto sums = state.own;
+    const auto addTally = [&](const RouteTally& tally) {
+        auto& sum = sums.try_emplace(tally.route, RouteTally { tally.route, {}, {} }).first->second;
+        sum = sum + tally;
+    };
+    for (const auto& [route, tally] : state.retired)
+        addTally(tally);
+    for (const auto& [peer, report] : state.peers)
+        std::for_each(report.routes.begin(), report.routes.end(), addTally);
+    std::vector<RouteTally> result;
+    result.reserve(sums.size());
+    for (auto& [route, tally] : sums)
+        result.push_back(std::move(tally));
+    return result;
+}
+
+Duration RolloutDesk::elapsed(const State& state, TimePoint now) const { return std::chrono::duration_cast<Duration>(now - state.started); }
+
+std::vector<RolloutReport> RolloutDesk::reports(TimePoint now) const
+{
+    std::vector<RolloutReport> result;
+    for (const auto& [service, state] : m_states) {
+        const auto& order = state.rollout.order();
+        RolloutReport report { service, order.target, order.duration.count(), order.id, state.rollout.phase(), elapsed(state, now).count(),
+            {} };
+        const bool isRecorded = state.recorded && isOver(*state.recorded);
+        for (const auto& [route, tally] : state.own) {
+            if (!isRecorded)
+                report.routes.push_back(tally);
+        }
+        result.push_back(std::move(report));
+    }
+    return result;
+}
+
+std::vector<std::string> RolloutDesk::tick(TimePoint now, const ServiceTest& isLeader, const ServiceTest& isOldIdle)
+{
+    std::vector<std::string> changed;
+    for (auto& [service, state] : m_states) {
+        const auto before = state.rollout.phase();
+        state.rollout.observe(totals(state));
+        const bool mayLead = state.isRecordRead && isLeader(service);
+        state.rollout.advance(elapsed(state, now), mayLead);
+        state.isOldIdle = state.rollout.phase() == RolloutPhase::Moving && isOldIdle(service);
+        logPhase(state, before, now);
+        const bool isDue = duePhase(state, now).has_value();
+        if (!isDue)
+            state.dueSince.reset();
+        else if (!state.dueSince)
+            state.dueSince = now;
+        if (state.ruled != state.rollout.phase()) {
+            state.ruled = state.rollout.phase();
+            changed.push_back(service);
+        }
+    }
+    return changed;
+}
+
+void RolloutDesk::logPhase(const State& state, RolloutPhase before, TimePoint now)
+{
+    const auto& rollout = state.rollout;
+    if (rollout.phase() == before)
+        return;
+    const auto& event = rollout.phase() == RolloutPhase::TakenBack ? events::rolloutTakenBack
+        : rollout.phase() == RolloutPhase::Completed               ? events::rolloutFinished
+                                                                   : events::rolloutStep;
+    m_log.write(event,
+        { { "service", rollout.order().service }, { "order", rollout.order().id }, { "target", rollout.order().target },
+            { "phase", toString(rollout.phase()) }, { "reason", rollout.reason() }, { "elapsedMs", elapsed(state, now).count() } });
+}
+
+VersionRules RolloutDesk::rules() const
+{
+    VersionRules result;
+    for (const auto& [service, state] : m_states) {
+        const auto& order = state.rollout.order();
+        result[service] = { order.target, state.rollout.phase(), service + "@" + std::to_string(order.id) };
+    }
+    return result;
+}
+
+int64_t RolloutDesk::headroom(const std::string& service) const
+{
+    const auto found = m_states.find(service);
+    const bool mayTry = found != m_states.end() && found->second.isRecordRead && found->second.rollout.phase() == RolloutPhase::Trial;
+    return mayTry ? found->second.rollout.headroom() : 0;
+}
+
+std::vector<RolloutOrder> RolloutDesk::open() const
+{
+    std::vector<RolloutOrder> orders;
+    for (const auto& [service, state] : m_states) {
+        if (!state.recorded || !isOver(*state.recorded))
+            orders.push_back(state.rollout.order());
+    }
+    return orders;
+}
+
+// The phase that the record lacks: the start, and the end once it is certain.
+std::optional<RolloutPhase> RolloutDesk::duePhase(const State& state, TimePoint now) const
+{
+    if (!state.isRecordRead || (state.recorded && isOver(*state.recorded)))
+        return std::nullopt;
+    if (state.rollout.phase() == RolloutPhase::TakenBack)
+        return RolloutPhase::TakenBack;
+    if (state.rollout.isReadyToComplete(elapsed(state, now), state.isOldIdle))
+        return RolloutPhase::Completed;
+    return state.recorded ? std::nullopt : std::optional(RolloutPhase::Trial);
+}
+
+std::vector<RolloutStatus> RolloutDesk::due(TimePoint now, const ServiceTest& mayWrite) const
+{
+    std::vector<RolloutStatus> result;
+    for (const auto& [service, state] : m_states) {
+        const auto phase = duePhase(state, now);
+        const bool isWaitedFor = state.dueSince && now - *state.dueSince >= othersWriteAfter;
+        if (phase && (mayWrite(service) || isWaitedFor))
+            result.push_back({ state.rollout.order(), *phase });
+    }
+    return result;
+}
+
+} // namespace bronzeswitch
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -217,6 +217,47 @@
     bool operator==(const OrganisationUsage&) const = default;
 };
 
+/** Where the move of a service to another version stands; it goes forward only. */
+enum class RolloutPhase {
+    Trial, /**< The new version gets a small part of the requests. */
+    Moving, /**< All new requests go to the new version, while old ones end. */
+    TakenBack, /**< The new version gets nothing more. */
+    Completed, /**< The old version may be stopped. */
+};
+
+/** What one node has counted of a version's requests. */
+struct VersionTally {
+    int64_t sent = 0;
+    int64_t answered = 0;
+    int64_t failed = 0;
+    std::vector<int64_t> firstByte; /**< Answers by the time to their first byte, in LatencyBuckets. */
+    std::vector<int64_t> betweenTokens; /**< Answers by their mean time between tokens, in LatencyBuckets. */
+
+    bool operator==(const VersionTally&) const = default;
+};
+
+/** The same of one route, for the old and the new version. */
+struct RouteTally {
+    std::string route;
+    VersionTally stable;
+    VersionTally candidate;
+
+    bool operator==(const RouteTally&) const = default;
+};
+
+/** A node's view of the move of a service to another version. */
+struct RolloutReport {
+    std::string service;
+    std::string target;
+    int64_t durationMs = 0;
+    int64_t order = 0; /**< Grows with each order. */
+    RolloutPhase phase = RolloutPhase::Trial;
+    int64_t elapsedMs = 0; /**< Since the order. */
+    std::vector<RouteTally> routes;
+
+    bool operator==(const RolloutReport&) const = default;
+};
+
 /** What a node does now and knows; sent to its peers again and again, so that a lost one does no harm. */
 struct NodeReport {
     std::string node;
@@ -232,6 +273,7 @@
     std::vector<std::string> peers; /**< Addresses of peers that the sender hears. */
     int64_t memoryMs = 0; /**< For how long the sender remembers what was admitted; short after its restart. */
     int64_t upMs = 0; /**< Since the start of the sender. */
+    std::vector<RolloutReport> rollouts;
 
     bool operator==(const NodeReport&) const = default;
 };
@@ -261,6 +303,9 @@
 /** @return the message, or Protocol when the bytes are not exactly one known message. */
 Result<Message> decode(const std::string& bytes);
 
+/** @return the stable name of a phase. */
+const char* toString(RolloutPhase);
+
 /** @return the stable name of a refusal reason. */
 const char* toString(RefusalReason);
 
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -49,7 +49,15 @@
         return std::tie(message.organisation, message.tokens, message.recent);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers, message.memoryMs, message.upMs);
+            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers, message.memoryMs, message.upMs,
+            message.rollouts);
+    else if constexpr (std::is_same_v<Type, VersionTally>)
+        return std::tie(message.sent, message.answered, message.failed, message.firstByte, message.betweenTokens);
+    else if constexpr (std::is_same_v<Type, RouteTally>)
+        return std::tie(message.route, message.stable, message.candidate);
+    else if constexpr (std::is_same_v<Type, RolloutReport>)
+        return std::tie(
+            message.service, message.target, message.durationMs, message.order, message.phase, message.elapsedMs, message.routes);
     else if constexpr (std::is_same_v<Type, ClaimAsk>)
         return std::tie(message.id, message.key, message.attempt, message.mode);
     else if constexpr (std::is_same_v<Type, ClaimAnswer>)
@@ -65,7 +73,8 @@
 }
 
 template <typename Field>
-concept Record = std::is_same_v<Field, PrefixMark> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field, OrganisationUsage>;
+concept Record = std::is_same_v<Field, PrefixMark> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
+    OrganisationUsage> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field, RolloutReport>;
 
 template <typename Field> struct IsList : std::false_type {
 };
@@ -122,6 +131,8 @@
         return static_cast<int>(RefusalReason::Overloaded) + 1;
     else if constexpr (std::is_same_v<Enum, DispatchOutcome>)
         return static_cast<int>(DispatchOutcome::Cancelled) + 1;
+    else if constexpr (std::is_same_v<Enum, RolloutPhase>)
+        return static_cast<int>(RolloutPhase::Completed) + 1;
     else if constexpr (std::is_same_v<Enum, ClaimMode>)
         return static_cast<int>(ClaimMode::Claim) + 1;
     else
@@ -238,6 +249,12 @@
     return names[static_cast<size_t>(reason)];
 }
 
+const char* toString(RolloutPhase phase)
+{
+    static constexpr std::array names { "trial", "moving", "taken-back", "completed" };
+    return names[static_cast<size_t>(phase)];
+}
+
 const char* toString(ClaimState state)
 {
     static constexpr std::array names { "free", "granted", "running", "recorded", "unknown", "unavailable" };
--- a/libs/rollout/include/rollout/RolloutPlanner.h
+++ b/libs/rollout/include/rollout/RolloutPlanner.h
@@ -2,7 +2,7 @@
 
 #include <config/Configuration.h>
 #include <ledger/LedgerState.h>
-#include <rollout/RolloutJudge.h>
+#include <trial/RolloutJudge.h>
 
 #include <optional>
 
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -143,6 +143,12 @@
     /** @return the engines that report another version than the plan names for them. */
     std::vector<Upstream> wrongVersions() const;
 
+    /** Lets a rollout's candidate get so many more places, in place of the plan's share. */
+    void allowCandidate(const std::string& rollout, int64_t places);
+
+    /** @return the requests that run at an upstream, as far as this scheduler knows. */
+    int load(const std::string& upstream) const;
+
     /** Stops a rollout's candidate at once, whatever the plan says. */
     void stopRollout(const std::string& rollout);
 
@@ -242,6 +248,7 @@
     int m_topRank = std::numeric_limits<int>::max(); /**< Highest rank that has asked here. */
     double m_topPeak = 0; /**< Most places that the highest rank held lately; decays. */
     std::map<std::string, ShareCount> m_shares;
+    std::map<std::string, int64_t> m_allowances; /**< Places that a candidate may still get, by rollout. */
     std::set<std::string> m_stoppedRollouts;
 };
 
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -257,6 +257,8 @@
 {
     if (plan.candidate.empty() || m_stoppedRollouts.contains(plan.rollout))
         return false;
+    if (const auto allowance = m_allowances.find(plan.rollout); allowance != m_allowances.end())
+        return allowance->second > 0;
     auto& count = m_shares[plan.rollout];
     if (count.step != plan.step)
         count = { plan.step, 0, 0 };
@@ -270,6 +272,8 @@
     auto& count = m_shares[plan.rollout];
     ++count.total;
     count.candidate += isCandidate ? 1 : 0;
+    if (const auto allowance = m_allowances.find(plan.rollout); isCandidate && allowance != m_allowances.end())
+        --allowance->second;
 }
 
 PoolScheduler::Choice PoolScheduler::choose(const Waiter& waiter, TimePoint now)
@@ -493,6 +497,14 @@
     return result;
 }
 
+void PoolScheduler::allowCandidate(const std::string& rollout, int64_t places) { m_allowances[rollout] = places; }
+
+int PoolScheduler::load(const std::string& upstream) const
+{
+    const auto found = m_upstreams.find(upstream);
+    return found == m_upstreams.end() ? 0 : found->second.counts.load();
+}
+
 void PoolScheduler::stopRollout(const std::string& rollout) { m_stoppedRollouts.insert(rollout); }
 
 PlaceDecisions PoolScheduler::tick(TimePoint now)
--- a/libs/rollout/include/rollout/RolloutJudge.h
+++ b/libs/trial/include/trial/RolloutJudge.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <rollout/SequentialTest.h>
+#include <trial/SequentialTest.h>
 
 #include <cstdint>
 #include <deque>
--- a/libs/rollout/src/RolloutJudge.cpp
+++ b/libs/trial/src/RolloutJudge.cpp
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <rollout/RolloutJudge.h>
+#include <trial/RolloutJudge.h>
 #include <vector>
 
 namespace bronzeswitch {
--- a/libs/rollout/src/SequentialTest.cpp
+++ b/libs/trial/src/SequentialTest.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 #include <cmath>
-#include <rollout/SequentialTest.h>
+#include <trial/SequentialTest.h>
 
 namespace bronzeswitch {
 
