--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -48,6 +48,9 @@
     /** Starts to serve. */
     void start(StateSource);
 
+    /** Takes further peer addresses to begin with. */
+    void addSeeds(const std::vector<std::string>&);
+
     /** Puts a version of the routing in force, if it is newer. @return false if it is not. */
     bool applyRouting(RoutingTablePointer);
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -62,7 +62,12 @@
     , m_started(monotonicNow())
     , m_incarnation(unixMs())
 {
-    for (const auto& seed : m_options.seeds)
+    addSeeds(m_options.seeds);
+}
+
+void GatewayNode::addSeeds(const std::vector<std::string>& seeds)
+{
+    for (const auto& seed : seeds)
         m_peers.addAddress(seed, true, monotonicNow());
 }
 
