Count peers' use of a quota when they tell it, and wait a moment while room is unsettled

Besides, a node's part of the room, which keeps nodes from taking the same room together, left the half of the tolerance out that is kept for just that.

Change: reports are noted as they come, for all organisations; the part is of the room and of the kept half, over a sliding 150 ms; a request that finds room which is unsettled waits for the peers' word, three times at most, in place of a refusal.

--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -96,6 +96,7 @@
     NodeReport makeReport(bool withPeers);
     std::string homeOf(const std::string& pool) const;
     Duration memory() const;
+    void noteUsage(const NodeReport&);
     void rememberUsage(const NodeReport&);
     void send(const std::string& address, const Message&);
     void sendToAll(const Message&);
--- a/libs/gateway/include/gateway/QuotaAccount.h
+++ b/libs/gateway/include/gateway/QuotaAccount.h
@@ -31,6 +31,7 @@
     Duration wait { 0 };
     int64_t used = 0; /**< Tokens in the window, by all nodes as far as known. */
     int64_t allowed = 0; /**< Tokens that the window may hold. */
+    bool isUnsettled = false; /**< There is room, but peers may be taking it; they will have told by the end of the wait. */
 
     bool operator==(const QuotaRefusal&) const = default;
 };
@@ -42,12 +43,19 @@
  * admits itself and later what its peers tell. A node that is silent may go on admitting its part, so that part is left to
  * it. Requests of one organisation come in clumps, which the window lets pass as long as its whole allowance lasts. Half of
  * what may pass on top is used, the other half is for what peers have admitted and not yet told. When a clump leaves the
- * window, all nodes see the same room; each takes only its part of it until the others have told what they took.
+ * window, all nodes see the same room; each takes only its part, of it and of that other half, until the others have told what
+ * they took.
  */
 class QuotaAccount {
 public:
     explicit QuotaAccount(QuotaBounds);
 
+    /**
+     * Takes what peers have admitted, as soon as they tell: use counts from the moment at which it is noted.
+     * @param peerTokens in all, since they were first heard.
+     */
+    void notePeers(int64_t peerTokens, TimePoint now);
+
     /**
      * Takes tokens for one request.
      * @param peerTokens that peers have admitted in all.
@@ -75,6 +83,8 @@
 
     void note(int64_t tokens, TimePoint now);
     bool isFairPart(int tokens, double room, int nodes, TimePoint now);
+    double nominal(const TokenQuota&) const;
+    double tolerated(const TokenQuota&) const;
     double allowance(const TokenQuota&, const QuotaBlindness&) const;
 
     QuotaBounds m_bounds;
@@ -82,8 +92,7 @@
     int64_t m_used = 0; /**< In the window. */
     int64_t m_peerTokens = 0;
     int64_t m_ownTokens = 0;
-    TimePoint m_sliceStart {};
-    int64_t m_sliceTokens = 0; /**< Admitted by this node since then. */
+    std::deque<Use> m_untold; /**< Own uses that peers may not know of yet. */
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -201,6 +201,7 @@
     if (m_peers.onReport(text(from), *report, monotonicNow()))
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.nodes() } });
     m_rollouts.setPeerReports(text(from), report->incarnation, report->rollouts, monotonicNow());
+    noteUsage(*report);
     rememberUsage(*report);
     m_places.setPeerLoads(text(from), report->loads);
 }
@@ -378,6 +379,15 @@
     }
 }
 
+// Noted at once, for organisations that have sent nothing here yet too: what is noted late would count again later.
+void GatewayNode::noteUsage(const NodeReport& report)
+{
+    for (const auto& item : report.usage) {
+        auto& account = m_quotas.try_emplace(item.organisation, m_options.bounds.quotas).first->second;
+        account.notePeers(m_peers.usage(item.organisation), monotonicNow());
+    }
+}
+
 // One peer that has run for a whole window remembers what all nodes have admitted.
 void GatewayNode::rememberUsage(const NodeReport& report)
 {
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <gateway/QuotaAccount.h>
+#include <numeric>
 
 namespace bronzeswitch {
 
@@ -7,7 +8,8 @@
 
 constexpr double usedTolerance = 0.5;
 constexpr int windowParts = 8;
-constexpr Duration slice { 150 }; // A little more than the peers take to tell.
+constexpr Duration shortestWait { 1 };
+constexpr Duration tellTime { 150 }; // A little more than nodes take to tell each other.
 
 } // namespace
 
@@ -30,22 +32,30 @@
 
 double QuotaAccount::allowance(const TokenQuota& quota, const QuotaBlindness& blindness) const
 {
-    const double nominal = quota.ratePerSecond * toSeconds(m_bounds.window) + quota.burst;
-    const double tolerated = nominal * m_bounds.overshoot + m_bounds.slack;
-    const double whole = nominal + usedTolerance * tolerated;
+    const double whole = nominal(quota) + usedTolerance * tolerated(quota);
     const double seen = 1 - std::clamp(blindness.silentShare, 0.0, 1.0);
     const double remembered = 1 - std::clamp(blindness.forgottenShare, 0.0, 1.0);
     return whole * (seen + remembered - 1);
 }
 
-bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, const QuotaBlindness& blindness, TimePoint now)
+double QuotaAccount::nominal(const TokenQuota& quota) const { return quota.ratePerSecond * toSeconds(m_bounds.window) + quota.burst; }
+
+double QuotaAccount::tolerated(const TokenQuota& quota) const { return nominal(quota) * m_bounds.overshoot + m_bounds.slack; }
+
+void QuotaAccount::notePeers(int64_t peerTokens, TimePoint now)
 {
     note(peerTokens - m_peerTokens, now);
     m_peerTokens = peerTokens;
+}
+
+bool QuotaAccount::take(const TokenQuota& quota, int tokens, int64_t peerTokens, const QuotaBlindness& blindness, TimePoint now)
+{
+    notePeers(peerTokens, now);
     const double room = allowance(quota, blindness) - static_cast<double>(m_used);
-    if (tokens > room || !isFairPart(tokens, room, blindness.nodes, now))
+    const double untoldRoom = room + (1 - usedTolerance) * tolerated(quota);
+    if (tokens > room || !isFairPart(tokens, untoldRoom, blindness.nodes, now))
         return false;
-    m_sliceTokens += tokens;
+    m_untold.push_back({ now, tokens });
     note(tokens, now);
     m_ownTokens += tokens;
     return true;
@@ -53,12 +63,12 @@
 
 bool QuotaAccount::isFairPart(int tokens, double room, int nodes, TimePoint now)
 {
-    if (now - m_sliceStart >= slice) {
-        m_sliceStart = now;
-        m_sliceTokens = 0;
-    }
+    while (!m_untold.empty() && m_untold.front().time <= now - tellTime)
+        m_untold.pop_front();
+    const auto untold
+        = std::accumulate(m_untold.begin(), m_untold.end(), int64_t(0), [](int64_t sum, const Use& use) { return sum + use.tokens; });
     // One request passes in any case, else nobody could take a small room.
-    return !m_sliceTokens || static_cast<double>(m_sliceTokens + tokens) <= room / std::max(1, nodes);
+    return !untold || static_cast<double>(untold + tokens) <= room / std::max(1, nodes);
 }
 
 QuotaRefusal QuotaAccount::refusal(const TokenQuota& quota, int tokens, const QuotaBlindness& blindness, TimePoint now) const
@@ -66,7 +76,13 @@
     const double allowed = allowance(quota, blindness);
     QuotaRefusal result { m_bounds.window, m_used, static_cast<int64_t>(allowed) };
     double excess = static_cast<double>(m_used + tokens) - allowed;
+    result.isUnsettled = excess <= 0;
+    const auto oldestUntold = m_untold.empty() ? now : m_untold.front().time;
+    if (result.isUnsettled)
+        result.wait = std::max(shortestWait, std::chrono::ceil<Duration>(oldestUntold + tellTime - now));
     for (const auto& use : m_uses) {
+        if (result.isUnsettled)
+            break;
         excess -= static_cast<double>(use.tokens);
         if (excess > 0)
             continue;
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
 constexpr std::size_t maxExcluded = 4; // Upstreams that could not be reached, for one request.
 constexpr int maxStrayAnswers = 2; // Answers to earlier requests that are skipped on a connection.
+constexpr int maxQuotaWaits = 3;
 constexpr Duration configurationWait { 500 };
 constexpr Duration leastRetryAfter { 100 };
 constexpr double millisecondsPerSecond = 1000;
@@ -79,7 +80,12 @@
 
 Task<bool> RequestTask::run()
 {
-    if (const auto problem = admit()) {
+    auto problem = admit();
+    m_caller.watch([this] { onCallerLeft(); });
+    if (!problem)
+        problem = co_await takeQuota();
+    if (problem) {
+        m_caller.stopWatching();
         const bool isRejected = problem->status != httpstatus::serviceUnavailable && problem->status != httpstatus::tooManyRequests;
         auto fields = describe();
         fields["reason"] = problem->reason;
@@ -88,7 +94,6 @@
         m_context.metrics.countRequest(m_route ? m_route->rank : 0, problem->reason);
         co_return co_await sendProblem(*problem);
     }
-    m_caller.watch([this] { onCallerLeft(); });
     const bool isKept = co_await serve();
     m_caller.stopWatching();
     co_return isKept && !m_hasLeft;
@@ -130,14 +135,29 @@
     m_organisation = m_routing->findOrganisation(m_head.key);
     if (!m_organisation)
         return Problem { unauthorized, "unknown-key", Execution::NotRun, "the key is not known", std::nullopt };
-    const int tokens = m_head.promptTokens ? *m_head.promptTokens + m_head.outputTokens : m_organisation->quota.plainRequestTokens;
-    m_quotaRefusal = m_organisation->quota.isLimited() ? m_context.takeQuota(*m_organisation, tokens) : std::nullopt;
-    if (m_quotaRefusal)
-        return Problem { httpstatus::tooManyRequests, "quota", Execution::NotRun, "the organisation's quota is used up",
-            std::max(m_quotaRefusal->wait, leastRetryAfter) };
     return std::nullopt;
 }
 
+// A short wait for the peers' word is better for the caller than a refusal while there is room.
+Task<std::optional<Problem>> RequestTask::takeQuota()
+{
+    if (!m_organisation || !m_organisation->quota.isLimited())
+        co_return std::nullopt;
+    const int tokens = m_head.promptTokens ? *m_head.promptTokens + m_head.outputTokens : m_organisation->quota.plainRequestTokens;
+    for (int wait = 0;; ++wait) {
+        m_quotaRefusal = m_context.takeQuota(*m_organisation, tokens);
+        const bool mayWait = m_quotaRefusal && m_quotaRefusal->isUnsettled && wait < maxQuotaWaits && !m_hasLeft;
+        if (!mayWait)
+            break;
+        co_await sleepFor(m_context.executor, m_quotaRefusal->wait);
+    }
+    if (!m_quotaRefusal)
+        co_return std::nullopt;
+    Problem problem { httpstatus::tooManyRequests, "quota", Execution::NotRun, "the organisation's quota is used up",
+        std::max(m_quotaRefusal->wait, leastRetryAfter) };
+    co_return problem;
+}
+
 std::string RequestTask::chooseService() const
 {
     const auto& services = m_route->services;
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -49,6 +49,7 @@
 
     std::optional<Problem> admit();
     std::optional<Problem> admitOrganisation();
+    Task<std::optional<Problem>> takeQuota();
     std::string chooseService() const;
     PlaceAsk makeAsk();
     Task<bool> serve();
--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -5,6 +5,9 @@
 #include <gateway/RetryBudget.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/UpstreamDirectory.h>
+#include <map>
+#include <numeric>
+#include <random>
 
 using namespace bronzeswitch;
 
@@ -131,6 +134,127 @@
     CHECK(taken <= 900);
 }
 
+namespace {
+
+// Nodes that tell each other each 100 ms what they have admitted, before one organisation's callers.
+class QuotaFleet {
+public:
+    QuotaFleet(int nodes, unsigned seed)
+        : m_accounts(static_cast<std::size_t>(nodes), QuotaAccount(bounds))
+        , m_told(static_cast<std::size_t>(nodes), 0)
+        , m_random(seed)
+    {
+        m_blindness.nodes = nodes;
+    }
+
+    static double nominal() { return fleetQuota.ratePerSecond * toSeconds(bounds.window) + fleetQuota.burst; }
+    static double bound() { return nominal() * (1 + bounds.overshoot) + bounds.slack; }
+
+    // Sends requests of that many tokens a second, in clumps of up to ten.
+    void play(double tokensPerSecond, Duration time)
+    {
+        constexpr double meanTokens = 5000;
+        constexpr double meanClump = 5.5;
+        const auto end = m_now + time;
+        for (; m_now < end; m_now += Duration(1)) {
+            if (m_now.time_since_epoch() % Duration(100) == TimePoint::duration(0))
+                tell();
+            if (std::bernoulli_distribution(tokensPerSecond / 1000 / (meanTokens * meanClump))(m_random))
+                clump(std::uniform_int_distribution<int>(1, 10)(m_random));
+            while (!m_due.empty() && m_due.begin()->first <= m_now)
+                ask(m_due.extract(m_due.begin()).mapped());
+        }
+    }
+
+    int refused = 0;
+    int refusedWithRoom = 0; // Though the whole window held less than the nominal quota.
+    double mostInWindow = 0;
+
+private:
+    static constexpr QuotaBounds bounds { Duration(8000), 0.1, 140000 };
+    static constexpr TokenQuota fleetQuota { 20000, 190000, 1 };
+
+    struct Request {
+        std::size_t node;
+        int tokens;
+        int waits;
+    };
+
+    void tell()
+    {
+        for (std::size_t node = 0; node < m_accounts.size(); ++node)
+            m_told[node] = m_accounts[node].ownTokens();
+        for (std::size_t node = 0; node < m_accounts.size(); ++node)
+            m_accounts[node].notePeers(toldBesides(node), m_now);
+    }
+
+    int64_t toldBesides(std::size_t node) const { return std::accumulate(m_told.begin(), m_told.end(), int64_t(0)) - m_told[node]; }
+
+    void clump(int requests)
+    {
+        for (int i = 0; i < requests; ++i) {
+            const auto node = std::uniform_int_distribution<std::size_t>(0, m_accounts.size() - 1)(m_random);
+            const int tokens = std::uniform_int_distribution<int>(1000, 9000)(m_random);
+            m_due.emplace(m_now, Request { node, tokens, 0 });
+        }
+    }
+
+    void ask(Request request)
+    {
+        forget();
+        auto& account = m_accounts[request.node];
+        if (account.take(fleetQuota, request.tokens, toldBesides(request.node), m_blindness, m_now)) {
+            m_uses.push_back({ m_now, request.tokens });
+            m_used += request.tokens;
+            mostInWindow = std::max(mostInWindow, m_used);
+            return;
+        }
+        const auto refusal = account.refusal(fleetQuota, request.tokens, m_blindness, m_now);
+        if (refusal.isUnsettled && request.waits < 3) {
+            ++request.waits;
+            m_due.emplace(m_now + refusal.wait, request);
+            return;
+        }
+        ++refused;
+        refusedWithRoom += m_used + request.tokens <= nominal() ? 1 : 0;
+    }
+
+    void forget()
+    {
+        while (!m_uses.empty() && m_uses.front().first <= m_now - bounds.window) {
+            m_used -= m_uses.front().second;
+            m_uses.pop_front();
+        }
+    }
+
+    std::multimap<TimePoint, Request> m_due;
+    std::vector<QuotaAccount> m_accounts;
+    std::vector<int64_t> m_told;
+    std::mt19937 m_random;
+    QuotaBlindness m_blindness;
+    TimePoint m_now = TimePoint() + std::chrono::hours(1);
+    std::deque<std::pair<TimePoint, int>> m_uses;
+    double m_used = 0;
+};
+
+} // namespace
+
+TEST_CASE("clumps inside a quota pass at nodes of any number, and eight times the usual stays inside the bound")
+{
+    for (const int nodes : { 3, 9, 16 }) {
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            CAPTURE(nodes, seed);
+            QuotaFleet calm(nodes, seed);
+            calm.play(0.7 * QuotaFleet::nominal() / 8, Duration(60000));
+            CHECK(calm.refusedWithRoom == 0);
+            QuotaFleet pressed(nodes, seed);
+            pressed.play(QuotaFleet::nominal(), Duration(60000));
+            CHECK(pressed.refused > 0);
+            CHECK(pressed.mostInWindow <= QuotaFleet::bound());
+        }
+    }
+}
+
 TEST_CASE("a restarted node takes a peer's memory, and leaves room for what nobody remembers")
 {
     QuotaAccount survivor(quotaBounds);
