Let a few nodes read the store for all

Cause: every node polled the engines' entries twice a second and waited for the operator's records, 2.5 calls a second each.

Change: nodes rank each other by a hash of their addresses (SourceTurns). The first reads the entries each 400 ms and passes on the range that it read and what changed in it; the others take that as read, and step in one after the other within 0.7 to 1.3 s when no word comes. Four nodes wait for the operator's records; a new version is reported at once and fetched without the directory. A node that hears nothing reads both for itself. Use is summed as it comes; whole lists go with each tenth report.

Conclusion: a few readers are enough; the silence of the first one is the signal that replaces polling.

--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -37,7 +37,7 @@
 public:
     /** How the source of routing and directory takes part in passing state on between nodes. */
     struct StateSource {
-        std::function<std::string()> encode; /**< @return all state that this node holds. */
+        std::function<std::string(bool withDirectory)> encode; /**< @return the state that this node holds. */
         std::function<void(const std::string&)> take; /**< Takes a peer's state; what is older is ignored. */
         std::function<void(const std::string&)> takeNews; /**< Takes changes that a peer has announced. */
     };
@@ -57,6 +57,15 @@
     /** Lets a function change the directory; schedulers follow if it returns true. @return what the function returned. */
     bool changeDirectory(const std::function<bool(UpstreamDirectory&)>&);
 
+    /**
+     * @return how many nodes come before this one in reading the source; so nodes agree, without asking, who reads it for all.
+     * Nodes that the source does not answer come after all others.
+     */
+    int sourceRank() const;
+
+    /** Notes whether the source answers this node. */
+    void setSourceReached(bool isReached) { m_isSourceReached = isReached; }
+
     /** Tells every peer of changes that this node has just read. @param changes as the source encodes them. */
     void announce(const std::string& changes);
 
@@ -92,8 +101,9 @@
     Task<void> sendReports();
     Task<void> keepHouse();
     Task<void> fetchState();
-    bool isBehind(std::string& address) const;
-    NodeReport makeReport(bool withPeers);
+    bool isBehind(std::string& address, bool& isDirectoryBehind) const;
+    void reportNow();
+    NodeReport makeReport(bool isWhole);
     std::string homeOf(const std::string& pool) const;
     Duration memory() const;
     void noteUsage(const NodeReport&);
@@ -127,6 +137,7 @@
     TimePoint m_started {};
     int64_t m_incarnation = 0;
     uint64_t m_sequence = 0;
+    bool m_isSourceReached = true;
     bool m_remembersAll = false; /**< A peer has told what was admitted before this node started. */
     bool m_isStopping = false;
 };
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -50,6 +50,9 @@
     /** @return addresses of live peers that take requests and do not leave. */
     std::vector<std::string> members() const;
 
+    /** @return addresses of live peers that the source of routing and directory answers, as far as they have tried. */
+    std::vector<std::string> sourceReaders() const;
+
     /** Leaves a peer that did not answer out of members() for a while. */
     void suspect(const std::string& address, TimePoint until);
 
@@ -83,7 +86,6 @@
         TimePoint heard {};
         TimePoint suspectedUntil {};
         NodeReport report;
-        std::map<std::string, int64_t> usage; /**< Tokens counted of this peer, over its restarts. */
     };
 
     void countUsage(Peer&, const NodeReport&, bool isSameStart);
@@ -91,7 +93,7 @@
     std::string m_ownAddress;
     PeerBounds m_bounds;
     std::map<std::string, Peer> m_peers;
-    std::map<std::string, int64_t> m_forgottenUsage;
+    std::map<std::string, int64_t> m_usage; /**< Tokens counted of all peers, over their restarts. */
     TimePoint m_now {}; /**< Of the last expiry. */
 };
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -11,7 +11,7 @@
 constexpr Duration reportInterval { 100 };
 constexpr int idleReportFactor = 5; // A node whose load has not changed reports at this multiple of the interval.
 constexpr std::size_t nodesAtFullRate = 16; // With more nodes, each reports less often.
-constexpr int peersEvery = 10; // Reports from one that names other peers to the next.
+constexpr int wholeEvery = 10; // Reports from a whole one to the next.
 constexpr std::size_t peersNamed = 24;
 constexpr Duration suspicionTime { 1000 };
 constexpr Duration houseInterval { 100 };
@@ -21,6 +21,7 @@
 constexpr Duration fetchPause { 100 };
 constexpr std::size_t maxStateBytes = 16UL * 1024 * 1024;
 constexpr const char* statePath = "/state";
+constexpr const char* routingStatePath = "/state?routing"; // Without the directory, which is much larger.
 constexpr const char* metricsPath = "/metrics";
 
 std::string text(const DatagramEndpoint& endpoint) { return endpoint.address().to_string() + ":" + std::to_string(endpoint.port()); }
@@ -37,6 +38,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+// Whether a report tells peers more than the last one; times that go on by themselves don't count.
+bool saysMore(const NodeReport& report, const NodeReport& last)
+{
+    auto comparable = report;
+    comparable.sequence = last.sequence;
+    comparable.peers = last.peers;
+    comparable.isWhole = last.isWhole;
+    comparable.memoryMs = last.memoryMs;
+    comparable.upMs = last.upMs;
+    for (std::size_t index = 0; index < std::min(comparable.rollouts.size(), last.rollouts.size()); ++index)
+        comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
+    return comparable != last;
+}
+
 } // namespace
 
 Result<std::unique_ptr<GatewayNode>> GatewayNode::create(
@@ -136,6 +151,7 @@
     m_log.write(events::routingInForce, { { "version", table->version() }, { "before", current ? current->version() : 0 } });
     m_context.routing = std::move(table);
     configurePlaces();
+    reportNow();
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
     return true;
@@ -159,7 +175,15 @@
     return true;
 }
 
-// Nodes read their source at different moments, so the first to read a change spares the others the rest of their wait.
+int GatewayNode::sourceRank() const
+{
+    const auto weight = [](const std::string& address) { return std::pair(stableHash(address), address); };
+    const auto own = weight(peerAddress());
+    const auto readers = m_peers.sourceReaders();
+    return static_cast<int>(std::count_if(
+        readers.begin(), readers.end(), [&](const std::string& reader) { return !m_isSourceReached || weight(reader) < own; }));
+}
+
 void GatewayNode::announce(const std::string& changes) { sendToAll(StateNews { changes }); }
 
 WholeAnswer GatewayNode::answerReadiness() const
@@ -169,8 +193,8 @@
 
 WholeAnswer GatewayNode::answerPeer(const WholeRequest& request)
 {
-    if (request.target() == statePath)
-        return plainAnswer(httpstatus::ok, m_source.encode());
+    if (request.target() == statePath || request.target() == routingStatePath)
+        return plainAnswer(httpstatus::ok, m_source.encode(request.target() == statePath));
     if (request.target() != metricsPath)
         return plainAnswer(httpstatus::notFound, "");
     m_metrics.setGauge("routing-version", m_context.routing ? static_cast<double>(m_context.routing->version()) : 0);
@@ -231,7 +255,7 @@
     return rendezvous("pool/" + pool, members);
 }
 
-NodeReport GatewayNode::makeReport(bool withPeers)
+NodeReport GatewayNode::makeReport(bool isWhole)
 {
     const auto now = monotonicNow();
     NodeReport report;
@@ -244,12 +268,16 @@
     report.routingVersion = m_context.routing ? m_context.routing->version() : 0;
     report.directoryOffset = m_directoryOffset;
     report.loads = m_places.loads();
-    for (const auto& [organisation, account] : m_quotas)
-        report.usage.push_back({ organisation, account.ownTokens(), account.recentTokens(now) });
+    report.isWhole = isWhole;
+    for (const auto& [organisation, account] : m_quotas) {
+        if (isWhole || account.ownTokens() > 0)
+            report.usage.push_back({ organisation, account.ownTokens(), isWhole ? account.recentTokens(now) : std::vector<int64_t>() });
+    }
     report.memoryMs = memory().count();
     report.upMs = std::chrono::duration_cast<Duration>(now - m_started).count();
     report.rollouts = m_rollouts.reports(now);
-    if (withPeers) {
+    report.isSourceReached = m_isSourceReached;
+    if (isWhole) {
         report.peers = m_peers.live();
         if (report.peers.size() > peersNamed)
             report.peers.resize(peersNamed);
@@ -257,28 +285,29 @@
     return report;
 }
 
+// A new routing is known to all as soon as one node has it.
+void GatewayNode::reportNow()
+{
+    if (m_datagrams)
+        sendToAll(makeReport(false));
+}
+
 Task<void> GatewayNode::sendReports()
 {
     NodeReport last;
     int round = 0;
-    int quiet = 0;
+    int64_t quiet = 0; // In intervals of a small crowd.
     while (!m_isStopping) {
-        const bool withPeers = round++ % peersEvery == 0;
-        auto report = makeReport(withPeers);
-        auto comparable = report;
-        comparable.sequence = last.sequence;
-        comparable.peers = last.peers;
-        comparable.memoryMs = last.memoryMs;
-        comparable.upMs = last.upMs;
-        for (std::size_t index = 0; index < std::min(comparable.rollouts.size(), last.rollouts.size()); ++index)
-            comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
-        const bool isDue = withPeers || comparable != last || ++quiet >= idleReportFactor;
+        const auto crowd = std::max<int64_t>(1, static_cast<int64_t>(m_peers.addresses().size() / nodesAtFullRate));
+        const bool isWhole = round++ % wholeEvery == 0;
+        auto report = makeReport(isWhole);
+        quiet += crowd;
+        const bool isDue = isWhole || saysMore(report, last) || quiet >= idleReportFactor;
         if (isDue) {
             quiet = 0;
             last = report;
             sendToAll(report);
         }
-        const auto crowd = std::max<std::size_t>(1, m_peers.addresses().size() / nodesAtFullRate);
         co_await sleepFor(m_context.executor, reportInterval * crowd);
     }
 }
@@ -336,11 +365,13 @@
 }
 
 // The directory changes all the time, so an offset that rests while peers go on shows that its source is out of reach.
-bool GatewayNode::isBehind(std::string& address) const
+bool GatewayNode::isBehind(std::string& address, bool& isDirectoryBehind) const
 {
     const auto version = m_context.routing ? m_context.routing->version() : 0;
+    isDirectoryBehind = m_context.directory.entries().empty();
     if (m_peers.newestRouting(version, address))
         return true;
+    isDirectoryBehind = true;
     return monotonicNow() - m_directoryMoved > directoryRest && m_peers.newestDirectory(m_directoryOffset, address);
 }
 
@@ -357,7 +388,8 @@
     while (!m_isStopping) {
         co_await sleepFor(m_context.executor, fetchPause);
         std::string address;
-        if (!isBehind(address))
+        bool isDirectoryBehind = false;
+        if (!isBehind(address, isDirectoryBehind))
             continue;
         const auto endpoint = parseEndpoint(address);
         if (!endpoint)
@@ -365,7 +397,7 @@
         OutgoingRequest request;
         HttpFields fields;
         fields.set("Host", address);
-        request.head = formatRequestHead("GET", statePath, fields, 0);
+        request.head = formatRequestHead("GET", isDirectoryBehind ? statePath : routingStatePath, fields, 0);
         request.body = std::make_shared<const std::string>();
         const auto answer = co_await m_clients.call(*endpoint, std::move(request), monotonicNow() + fetchTime, maxStateBytes);
         if (!answer || answer->head.status != httpstatus::ok) {
@@ -374,6 +406,7 @@
                     { "reason", answer ? "status " + std::to_string(answer->head.status) : answer.error().message } });
             continue;
         }
+        m_metrics.countIncident("state-fetched");
         m_log.write(events::stateFetched, { { "from", address }, { "bytes", answer->body.size() } });
         m_source.take(answer->body);
     }
@@ -392,7 +425,7 @@
 void GatewayNode::rememberUsage(const NodeReport& report)
 {
     const auto window = m_options.bounds.quotas.window;
-    if (memory() >= window || Duration(report.memoryMs) < window)
+    if (!report.isWhole || memory() >= window || Duration(report.memoryMs) < window)
         return;
     m_remembersAll = true;
     for (const auto& item : report.usage)
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -58,7 +58,7 @@
             last = before->tokens;
         else if (!peer.wasHeard && Duration(report.upMs) >= m_bounds.usageWindow)
             last = item.tokens;
-        peer.usage[item.organisation] += std::max<int64_t>(0, item.tokens - last);
+        m_usage[item.organisation] += std::max<int64_t>(0, item.tokens - last);
     }
 }
 
@@ -78,8 +78,6 @@
             ++entry;
             continue;
         }
-        for (const auto& [organisation, tokens] : peer.usage)
-            m_forgottenUsage[organisation] += tokens;
         entry = m_peers.erase(entry);
     }
     return lost;
@@ -114,6 +112,16 @@
     return result;
 }
 
+std::vector<std::string> PeerView::sourceReaders() const
+{
+    std::vector<std::string> result;
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.isLive && peer.report.isSourceReached)
+            result.push_back(address);
+    }
+    return result;
+}
+
 void PeerView::suspect(const std::string& address, TimePoint until)
 {
     if (const auto found = m_peers.find(address); found != m_peers.end())
@@ -165,13 +173,8 @@
 
 int64_t PeerView::usage(const std::string& organisation) const
 {
-    const auto forgotten = m_forgottenUsage.find(organisation);
-    int64_t tokens = forgotten == m_forgottenUsage.end() ? 0 : forgotten->second;
-    for (const auto& [address, peer] : m_peers) {
-        const auto found = peer.usage.find(organisation);
-        tokens += found == peer.usage.end() ? 0 : found->second;
-    }
-    return tokens;
+    const auto found = m_usage.find(organisation);
+    return found == m_usage.end() ? 0 : found->second;
 }
 
 } // namespace bronzeswitch
--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -4,6 +4,7 @@
 #include <gateway/QuotaAccount.h>
 #include <gateway/RetryBudget.h>
 #include <gateway/RoutingTable.h>
+#include <gateway/SourceTurns.h>
 #include <gateway/UpstreamDirectory.h>
 #include <map>
 #include <numeric>
@@ -330,3 +331,29 @@
     CHECK(directory.find("e2"));
     CHECK(directory.remove("e2", grace, start));
 }
+
+TEST_CASE("one node reads the directory, the next ones step in one after the other, and nobody waits past a second and a half")
+{
+    const SourceTurns turns;
+    constexpr int nodes = 91;
+    int reading = 0;
+    for (int rank = 0; rank < nodes; ++rank)
+        reading += turns.readsDirectory(rank, turns.interval);
+    CHECK(reading == 1);
+    for (int rank = 1; rank < nodes; ++rank) {
+        CHECK(turns.longestSilence(rank) >= turns.longestSilence(rank - 1));
+        CHECK(turns.longestSilence(rank) < Duration(1500));
+    }
+    CHECK(turns.longestSilence(2) > turns.longestSilence(1));
+}
+
+TEST_CASE("a few nodes wait for the routing, and each one that hears nothing any more")
+{
+    const SourceTurns turns;
+    int waiting = 0;
+    for (int rank = 0; rank < 91; ++rank) {
+        waiting += turns.readsRouting(rank, Duration(0));
+        CHECK(turns.readsRouting(rank, turns.longestSilence(rank)));
+    }
+    CHECK(waiting == turns.routingReaders);
+}
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -270,15 +270,17 @@
     int64_t directoryOffset = 0; /**< Place in the directory's changes up to which the node has read. */
     std::vector<UpstreamLoad> loads;
     std::vector<OrganisationUsage> usage;
+    bool isWhole = false; /**< The usage holds every organisation with its recent part; else what the sender has admitted. */
     std::vector<std::string> peers; /**< Addresses of peers that the sender hears. */
     int64_t memoryMs = 0; /**< For how long the sender remembers what was admitted; short after its restart. */
     int64_t upMs = 0; /**< Since the start of the sender. */
     std::vector<RolloutReport> rollouts;
+    bool isSourceReached = true; /**< The source of routing and directory answers the sender, as far as it has tried. */
 
     bool operator==(const NodeReport&) const = default;
 };
 
-/** Changes of the state that a node has just read from its source; passed on so that peers needn't wait for their own turn. */
+/** What a node has just read from the source of routing and directory; passed on so that its peers need not read it too. */
 struct StateNews {
     std::string changes; /**< As the source encodes them. */
 
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -49,8 +49,8 @@
         return std::tie(message.organisation, message.tokens, message.recent);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.peers, message.memoryMs, message.upMs,
-            message.rollouts);
+            message.routingVersion, message.directoryOffset, message.loads, message.usage, message.isWhole, message.peers, message.memoryMs,
+            message.upMs, message.rollouts, message.isSourceReached);
     else if constexpr (std::is_same_v<Type, VersionTally>)
         return std::tie(message.sent, message.answered, message.failed, message.firstByte, message.betweenTokens);
     else if constexpr (std::is_same_v<Type, RouteTally>)
