Split admission and the candidate's share off; one accept loop, one copy of names and status codes

Change: Admission (route, organisation, rank) and CandidateShare are types of their own; acceptConnections serves all three listeners; toString(EventLevel), httpstatus and unixMilliseconds are the only copies. Conclusion: both files still hold one job each, but more than a reader wants at once.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -8,6 +8,9 @@
 
 enum class EventLevel { Info, Warning, Error };
 
+/** @return the stable name of a level. */
+const char* toString(EventLevel);
+
 /** One kind of event; its number never changes its meaning. */
 struct Event {
     int number = 0;
--- a/libs/base/include/base/HttpStatus.h
+++ b/libs/base/include/base/HttpStatus.h
@@ -5,12 +5,18 @@
 
 inline constexpr int ok = 200;
 inline constexpr int badRequest = 400;
+inline constexpr int unauthorized = 401;
 inline constexpr int forbidden = 403;
 inline constexpr int notFound = 404;
 inline constexpr int methodNotAllowed = 405;
+inline constexpr int requestTimeout = 408;
 inline constexpr int conflict = 409;
+inline constexpr int gone = 410;
+inline constexpr int preconditionFailed = 412;
 inline constexpr int payloadTooLarge = 413;
+inline constexpr int misdirectedRequest = 421;
 inline constexpr int tooManyRequests = 429;
+inline constexpr int headTooLarge = 431;
 inline constexpr int internalError = 500;
 inline constexpr int badGateway = 502;
 inline constexpr int serviceUnavailable = 503;
--- a/libs/base/src/EventLog.cpp
+++ b/libs/base/src/EventLog.cpp
@@ -8,6 +8,19 @@
 
 namespace bronzeswitch {
 
+const char* toString(EventLevel level)
+{
+    switch (level) {
+    case EventLevel::Info:
+        return "info";
+    case EventLevel::Warning:
+        return "warning";
+    case EventLevel::Error:
+        break;
+    }
+    return "error";
+}
+
 namespace {
 
 constexpr std::array catalogue { events::started, events::stopping, events::stopped, events::drainTimedOut, events::ready,
--- a/libs/base/tests/BaseTests.cpp
+++ b/libs/base/tests/BaseTests.cpp
@@ -8,23 +8,6 @@
 
 using namespace bronzeswitch;
 
-namespace {
-
-const char* nameOf(EventLevel level)
-{
-    switch (level) {
-    case EventLevel::Info:
-        return "info";
-    case EventLevel::Warning:
-        return "warning";
-    case EventLevel::Error:
-        return "error";
-    }
-    return "";
-}
-
-} // namespace
-
 TEST_CASE("the events page is the catalogue, row by row")
 {
     std::ifstream page(BRONZESWITCH_SOURCE_DIR "/docs/EVENTS.md");
@@ -39,7 +22,7 @@
         CHECK(event.number > last);
         last = event.number;
         expected.push_back(
-            "| " + std::to_string(event.number) + " | " + event.name + " | " + nameOf(event.level) + " | " + event.meaning + " |");
+            "| " + std::to_string(event.number) + " | " + event.name + " | " + toString(event.level) + " | " + event.meaning + " |");
     }
     CHECK(rows == expected);
 }
--- a/libs/gateway/include/gateway/RoutingTable.h
+++ b/libs/gateway/include/gateway/RoutingTable.h
@@ -19,6 +19,9 @@
     Stream, /**< Events as they are made; repeated only where the route allows to resume. */
 };
 
+/** @return the stable name of a kind. */
+const char* toString(RequestKind);
+
 /** A service that gets a share of a route's requests. */
 struct ServiceShare {
     std::string service;
--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -2,17 +2,14 @@
 
 #include <base/HttpStatus.h>
 #include <gateway/CallerServer.h>
-#include <net/StatusServer.h>
+#include <net/Acceptor.h>
 
 namespace bronzeswitch {
 
 namespace {
 
-constexpr Duration acceptPause { 50 };
 constexpr Duration drainPoll { 50 };
 constexpr Duration refusalTime { 1000 };
-constexpr int headTooLargeStatus = 431;
-constexpr int requestTimeoutStatus = 408;
 
 std::optional<Problem> problemFor(ReadProblem problem)
 {
@@ -20,11 +17,11 @@
     case ReadProblem::Malformed:
         return Problem { httpstatus::badRequest, "malformed", Execution::NotRun, "not a request", std::nullopt };
     case ReadProblem::HeadTooLarge:
-        return Problem { headTooLargeStatus, "head-too-large", Execution::NotRun, "the head is too large", std::nullopt };
+        return Problem { httpstatus::headTooLarge, "head-too-large", Execution::NotRun, "the head is too large", std::nullopt };
     case ReadProblem::BodyTooLarge:
         return Problem { httpstatus::payloadTooLarge, "body-too-large", Execution::NotRun, "the body is too large", std::nullopt };
     case ReadProblem::TooSlow:
-        return Problem { requestTimeoutStatus, "too-slow", Execution::NotRun, "the request did not arrive in time", std::nullopt };
+        return Problem { httpstatus::requestTimeout, "too-slow", Execution::NotRun, "the request did not arrive in time", std::nullopt };
     case ReadProblem::Closed:
         break;
     }
@@ -51,29 +48,20 @@
 
 void CallerServer::start()
 {
-    startTask(m_context.executor, acceptAll(), [this](const std::string& reason) {
+    // An error is most likely that no descriptor is free; closing connections will free some.
+    const auto onFailure = [this](const std::string& reason) {
         m_context.log.write(events::taskFailed, { { "task", "accept" }, { "reason", reason } });
-    });
+    };
+    acceptConnections(
+        m_acceptor, [this](std::shared_ptr<CallerConnection> connection) { take(std::move(connection)); }, onFailure);
 }
 
-Task<void> CallerServer::acceptAll()
+void CallerServer::take(std::shared_ptr<CallerConnection> connection)
 {
-    while (m_acceptor.is_open()) {
-        auto [error, socket] = co_await m_acceptor.async_accept(awaitResult);
-        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
-            co_return;
-        if (error) {
-            // Most likely no descriptor is free; closing connections will free some.
-            m_context.log.write(events::taskFailed, { { "task", "accept" }, { "reason", error.message() } });
-            co_await sleepFor(m_context.executor, acceptPause);
-            continue;
-        }
-        auto connection = std::make_shared<CallerConnection>(std::move(socket));
-        startTask(m_context.executor, serve(connection), [this, connection](const std::string& reason) {
-            m_connections.erase(connection);
-            m_context.log.write(events::taskFailed, { { "task", "caller" }, { "reason", reason } });
-        });
-    }
+    startTask(m_context.executor, serve(connection), [this, connection](const std::string& reason) {
+        m_connections.erase(connection);
+        m_context.log.write(events::taskFailed, { { "task", "caller" }, { "reason", reason } });
+    });
 }
 
 Task<void> CallerServer::serve(std::shared_ptr<CallerConnection> connection)
--- a/libs/gateway/src/DecisionLog.cpp
+++ b/libs/gateway/src/DecisionLog.cpp
@@ -1,30 +1,9 @@
 #include <chrono>
 #include <gateway/DecisionLog.h>
+#include <net/Async.h>
 
 namespace bronzeswitch {
 
-namespace {
-
-int64_t unixMs()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
-const char* levelName(EventLevel level)
-{
-    switch (level) {
-    case EventLevel::Info:
-        return "info";
-    case EventLevel::Warning:
-        return "warning";
-    case EventLevel::Error:
-        break;
-    }
-    return "error";
-}
-
-} // namespace
-
 DecisionLog::DecisionLog(std::string node, LineWriter& writer, int linesPerSecond)
     : m_node(std::move(node))
     , m_writer(writer)
@@ -48,11 +27,11 @@
         ++m_dropped;
         return;
     }
-    fields["time"] = unixMs();
+    fields["time"] = unixMilliseconds();
     fields["node"] = m_node;
     fields["number"] = event.number;
     fields["event"] = event.name;
-    fields["level"] = levelName(event.level);
+    fields["level"] = toString(event.level);
     if (dropped() > m_droppedTold) {
         m_droppedTold = dropped();
         fields["dropped"] = m_droppedTold;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -33,11 +33,6 @@
     return answer;
 }
 
-int64_t unixMs()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 // Whether a report tells peers more than the last one; times that go on by themselves don't count.
 bool saysMore(const NodeReport& report, const NodeReport& last)
 {
@@ -75,7 +70,7 @@
         [this](const GatewayOrganisation& organisation, int tokens) { return takeQuota(organisation, tokens); } }
     , m_peers({ .usageWindow = m_options.bounds.quotas.window })
     , m_started(monotonicNow())
-    , m_incarnation(unixMs())
+    , m_incarnation(unixMilliseconds())
 {
     addSeeds(m_options.seeds);
 }
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -5,7 +5,6 @@
 #include <boost/beast/core/string.hpp>
 #include <cmath>
 #include <cstdio>
-#include <random>
 
 namespace bronzeswitch {
 
@@ -27,9 +26,7 @@
 // Statuses that promise a caller that its request has not run.
 bool isNotRunPromise(int status)
 {
-    constexpr int requestTimeout = 408;
-    constexpr int misdirected = 421;
-    return status == requestTimeout || status == misdirected || status == httpstatus::tooManyRequests
+    return status == httpstatus::requestTimeout || status == httpstatus::misdirectedRequest || status == httpstatus::tooManyRequests
         || status == httpstatus::serviceUnavailable;
 }
 
@@ -40,32 +37,13 @@
     return text.data();
 }
 
-double randomShare()
-{
-    static std::mt19937_64 generator { std::random_device {}() };
-    return std::uniform_real_distribution<double>(0, 1)(generator);
-}
-
-const char* nameOf(RequestKind kind)
-{
-    switch (kind) {
-    case RequestKind::Idempotent:
-        return "idempotent";
-    case RequestKind::NonIdempotent:
-        return "non-idempotent";
-    case RequestKind::Stream:
-        break;
-    }
-    return "stream";
-}
-
 } // namespace
 
 RequestTask::RequestTask(GatewayContext& context, CallerConnection& caller, WholeRequest request)
     : m_context(context)
     , m_caller(caller)
     , m_request(std::move(request))
-    , m_routing(context.routing)
+    , m_admission(admit(context, m_request))
     , m_arrived(monotonicNow())
     , m_deadline(m_arrived)
 {
@@ -80,7 +58,9 @@
 
 Task<bool> RequestTask::run()
 {
-    auto problem = admit();
+    auto problem = m_admission.problem;
+    if (!problem)
+        setDeadlines();
     m_caller.watch([this] { onCallerLeft(); });
     if (!problem)
         problem = co_await takeQuota();
@@ -91,7 +71,7 @@
         fields["reason"] = problem->reason;
         fields["status"] = problem->status;
         m_context.log.write(isRejected ? events::requestRejected : events::requestRefused, std::move(fields));
-        m_context.metrics.countRequest(m_route ? m_route->rank : 0, problem->reason);
+        m_context.metrics.countRequest(m_admission.route ? m_admission.route->rank : 0, problem->reason);
         co_return co_await sendProblem(*problem);
     }
     const bool isKept = co_await serve();
@@ -108,44 +88,15 @@
         m_context.places.cancel(m_askId);
 }
 
-std::optional<Problem> RequestTask::admit()
-{
-    if (!m_routing)
-        return Problem { httpstatus::serviceUnavailable, "no-configuration", Execution::NotRun, "this node has no configuration yet",
-            configurationWait };
-    auto head = m_context.dialect.readCaller(m_request.base());
-    if (!head)
-        return Problem { httpstatus::badRequest, "malformed", Execution::NotRun, head.error().message, std::nullopt };
-    m_head = std::move(*head);
-    const auto host = m_request[boost::beast::http::field::host];
-    m_route = m_routing->findRoute({ host.data(), host.size() }, { m_request.target().data(), m_request.target().size() });
-    if (!m_route)
-        return Problem { httpstatus::notFound, "no-route", Execution::NotRun, "no route for this host and path", std::nullopt };
-    m_deadline = m_arrived + std::min(m_route->timeout, m_head.patience.value_or(m_route->timeout));
-    m_silenceDeadline = m_arrived + m_context.bounds.callerPatience.of(*m_route);
-    m_stream = EventStream(m_head.lastEventId);
-    return admitOrganisation();
-}
-
-std::optional<Problem> RequestTask::admitOrganisation()
-{
-    constexpr int unauthorized = 401;
-    if (!m_routing->needsKeys() || m_route->isAnonymous)
-        return std::nullopt;
-    m_organisation = m_routing->findOrganisation(m_head.key);
-    if (!m_organisation)
-        return Problem { unauthorized, "unknown-key", Execution::NotRun, "the key is not known", std::nullopt };
-    return std::nullopt;
-}
-
 // A short wait for the peers' word is better for the caller than a refusal while there is room.
 Task<std::optional<Problem>> RequestTask::takeQuota()
 {
-    if (!m_organisation || !m_organisation->quota.isLimited())
+    if (!m_admission.organisation || !m_admission.organisation->quota.isLimited())
         co_return std::nullopt;
-    const int tokens = m_head.promptTokens ? *m_head.promptTokens + m_head.outputTokens : m_organisation->quota.plainRequestTokens;
+    const int tokens = m_admission.head.promptTokens ? *m_admission.head.promptTokens + m_admission.head.outputTokens
+                                                     : m_admission.organisation->quota.plainRequestTokens;
     for (int wait = 0;; ++wait) {
-        m_quotaRefusal = m_context.takeQuota(*m_organisation, tokens);
+        m_quotaRefusal = m_context.takeQuota(*m_admission.organisation, tokens);
         const bool mayWait = m_quotaRefusal && m_quotaRefusal->isUnsettled && wait < maxQuotaWaits && !m_hasLeft;
         if (!mayWait)
             break;
@@ -158,21 +109,12 @@
     co_return problem;
 }
 
-std::string RequestTask::chooseService() const
+void RequestTask::setDeadlines()
 {
-    const auto& services = m_route->services;
-    if (services.size() == 1)
-        return services.front().service;
-    int total = 0;
-    for (const auto& share : services)
-        total += share.weight;
-    double point = randomShare() * total;
-    for (const auto& share : services) {
-        point -= share.weight;
-        if (point < 0)
-            return share.service;
-    }
-    return services.back().service;
+    const auto& route = *m_admission.route;
+    m_deadline = m_arrived + std::min(route.timeout, m_admission.head.patience.value_or(route.timeout));
+    m_silenceDeadline = m_arrived + m_context.bounds.callerPatience.of(route);
+    m_stream = EventStream(m_admission.head.lastEventId);
 }
 
 PlaceAsk RequestTask::makeAsk()
@@ -181,21 +123,23 @@
     m_askId = m_context.places.nextAskId();
     ask.id = m_askId;
     ask.pool = m_service;
-    ask.route = m_route->name;
-    ask.organisation = m_organisation ? m_organisation->name : "";
-    ask.rank = rank();
-    ask.promptTokens = m_head.promptTokens.value_or(0);
-    ask.outputTokens = m_head.expectedTokens.value_or(m_head.outputTokens);
-    ask.targetMs = m_route->kind == RequestKind::Stream ? std::max(Duration(1), m_route->targetLatency - callerAge()).count() : 0;
-    ask.startMs = m_route->kind == RequestKind::Stream ? left(m_silenceDeadline).count() : 0;
-    ask.prefixes = m_head.prefixes;
+    ask.route = m_admission.route->name;
+    ask.organisation = m_admission.organisation ? m_admission.organisation->name : "";
+    ask.rank = m_admission.rank();
+    ask.promptTokens = m_admission.head.promptTokens.value_or(0);
+    ask.outputTokens = m_admission.head.expectedTokens.value_or(m_admission.head.outputTokens);
+    ask.targetMs = m_admission.route->kind == RequestKind::Stream
+        ? std::max(Duration(1), m_admission.route->targetLatency - callerAge()).count()
+        : 0;
+    ask.startMs = m_admission.route->kind == RequestKind::Stream ? left(m_silenceDeadline).count() : 0;
+    ask.prefixes = m_admission.head.prefixes;
     ask.excluded = m_excluded;
     return ask;
 }
 
 Task<bool> RequestTask::serve()
 {
-    m_service = chooseService();
+    m_service = chooseService(*m_admission.route);
     m_body = std::make_shared<const std::string>(std::move(m_request.body()));
     auto& budget = m_context.retryBudgetOf(m_service);
     budget.onRequest(m_arrived);
@@ -229,7 +173,8 @@
 
 bool RequestTask::mayRunAgain() const
 {
-    return m_route->kind == RequestKind::Idempotent || (m_route->kind == RequestKind::Stream && m_route->isResumable);
+    return m_admission.route->kind == RequestKind::Idempotent
+        || (m_admission.route->kind == RequestKind::Stream && m_admission.route->isResumable);
 }
 
 bool RequestTask::mayRepeat(Outcome outcome, const Dispatch& dispatch)
@@ -238,7 +183,7 @@
         return false;
     if (!dispatch.wasSent)
         return m_excluded.size() <= maxExcluded;
-    if (m_attempts >= m_route->maxAttempts)
+    if (m_attempts >= m_admission.route->maxAttempts)
         return false;
     if (outcome != Outcome::NotRun && !mayRunAgain())
         return false;
@@ -273,27 +218,20 @@
     co_return outcome;
 }
 
-// The organisation's rank goes first; requests of equal organisations keep the order of their routes.
-int RequestTask::rank() const
-{
-    constexpr int ranksOfRoutes = 16;
-    const int routeRank = std::clamp(m_route->rank, 0, ranksOfRoutes - 1);
-    return m_organisation && m_organisation->rank ? *m_organisation->rank * ranksOfRoutes + routeRank : routeRank;
-}
-
 // A caller that comes back after a refusal has less patience left than the route's callers have at first.
 Duration RequestTask::callerAge()
 {
-    if (!m_head.patience)
+    if (!m_admission.head.patience)
         return Duration(0);
-    auto& longest = m_context.longestPatience[m_route->name];
-    longest = std::max(longest, *m_head.patience);
-    return longest - *m_head.patience;
+    auto& longest = m_context.longestPatience[m_admission.route->name];
+    longest = std::max(longest, *m_admission.head.patience);
+    return longest - *m_admission.head.patience;
 }
 
 OutgoingRequest RequestTask::makeRequest(const Dispatch& current) const
 {
-    const DispatchHead head { current.upstream.id, left(m_deadline), m_organisation ? m_organisation->name : "", m_stream.lastEventId() };
+    const DispatchHead head { current.upstream.id, left(m_deadline), m_admission.organisation ? m_admission.organisation->name : "",
+        m_stream.lastEventId() };
     const auto fields = m_context.dialect.makeDispatch(messageFields(m_request.base()), head);
     const auto method = m_request.method_string();
     const auto target = m_request.target();
@@ -309,7 +247,7 @@
     ++m_attempts;
     current.sent = monotonicNow();
     current.wasSent = true;
-    m_context.rollouts.onSent(m_service, m_route->name, current.upstream.version);
+    m_context.rollouts.onSent(m_service, m_admission.route->name, current.upstream.version);
     auto head = co_await readOwnHead(current, *ready.connection, makeRequest(current));
     if (!head)
         co_return failureOutcome(current, head.error());
@@ -322,10 +260,10 @@
     auto head = co_await connection.exchange(std::move(request), m_deadline);
     for (int strays = 0; head && strays < maxStrayAnswers; ++strays) {
         const auto answered = m_context.dialect.readUpstream(*head).requestId;
-        if (answered.empty() || answered == m_head.requestId)
+        if (answered.empty() || answered == m_admission.head.requestId)
             break;
-        m_context.log.write(
-            events::answerDropped, { { "request", m_head.requestId }, { "upstream", current.upstream.id }, { "answers", answered } });
+        m_context.log.write(events::answerDropped,
+            { { "request", m_admission.head.requestId }, { "upstream", current.upstream.id }, { "answers", answered } });
         const auto skipped = co_await connection.readWhole(m_deadline, maxAnswerBytes);
         if (!skipped)
             co_return tl::unexpected(skipped.error());
@@ -346,7 +284,7 @@
     current.firstByte = monotonicNow();
     if (says.load)
         m_context.places.report(m_service, current.upstream.id, *says.load);
-    const bool isOwn = says.requestId.empty() || says.requestId == m_head.requestId;
+    const bool isOwn = says.requestId.empty() || says.requestId == m_admission.head.requestId;
     if (isSuccess(head.status)) {
         const bool isUsable = isOwn && says.isSigned && fieldValue(head.fields, "Content-Encoding").empty();
         if (!isUsable) {
@@ -354,7 +292,7 @@
             connection.abort();
             co_return Outcome::MayHaveRun;
         }
-        const bool isStream = m_route->kind == RequestKind::Stream
+        const bool isStream = m_admission.route->kind == RequestKind::Stream
             && boost::beast::iequals(fieldValue(head.fields, "Content-Type").substr(0, 17), "text/event-stream");
         if (isStream)
             co_return co_await passStream(current, connection, head);
@@ -442,7 +380,7 @@
 {
     PlaceDone done;
     done.id = m_askId;
-    done.outputTokens = m_head.outputTokens;
+    done.outputTokens = m_admission.head.outputTokens;
     switch (outcome) {
     case Outcome::Answered:
         done.outcome = DispatchOutcome::Completed;
@@ -458,7 +396,7 @@
     }
     if (current.firstByte > current.sent)
         done.firstTokenMs = static_cast<int>(toMs(current.firstByte - current.sent));
-    if (const auto* service = m_routing->findService(m_service); service && current.events > 1) {
+    if (const auto* service = m_admission.routing->findService(m_service); service && current.events > 1) {
         const double perToken
             = toSeconds(monotonicNow() - current.firstByte) / static_cast<double>((current.events - 1) * service->tokensPerEvent);
         constexpr double microsecondsPerSecond = 1e6;
@@ -482,19 +420,19 @@
         answer.firstByteMs = toMs(until - current.sent);
         answer.betweenTokensMs = betweenTokensMs;
     }
-    m_context.rollouts.onAnswer(m_service, m_route->name, current.upstream.version, answer);
+    m_context.rollouts.onAnswer(m_service, m_admission.route->name, current.upstream.version, answer);
 }
 
 Task<bool> RequestTask::answerAfterFailure(Outcome worst)
 {
     if (m_hasBegun) {
         m_context.log.write(events::requestFailed, describe());
-        m_context.metrics.countRequest(m_route->rank, "broken");
+        m_context.metrics.countRequest(m_admission.route->rank, "broken");
         m_caller.reset();
         co_return false;
     }
     if (m_failedAnswer) {
-        m_context.metrics.countRequest(m_route->rank, "failed");
+        m_context.metrics.countRequest(m_admission.route->rank, "failed");
         co_return co_await sendWhole(m_failedAnswer->head, m_failedAnswer->body) && isKeepAlive();
     }
     const bool isLate = monotonicNow() >= m_deadline;
@@ -510,7 +448,7 @@
     fields["reason"] = problem.reason;
     fields["status"] = problem.status;
     m_context.log.write(worst == Outcome::NotRun ? events::requestRefused : events::requestFailed, std::move(fields));
-    m_context.metrics.countRequest(m_route->rank, problem.reason);
+    m_context.metrics.countRequest(m_admission.route->rank, problem.reason);
     co_return co_await sendProblem(problem);
 }
 
@@ -529,26 +467,26 @@
 
 Duration RequestTask::idleTimeout() const
 {
-    return m_routing ? m_routing->document().callerBounds.idleTimeout : CallerBounds {}.idleTimeout;
+    return m_admission.routing ? m_admission.routing->document().callerBounds.idleTimeout : CallerBounds {}.idleTimeout;
 }
 
 nlohmann::json RequestTask::describe() const
 {
-    nlohmann::json fields { { "request", m_head.requestId }, { "ageMs", std::lround(toMs(monotonicNow() - m_arrived)) },
-        { "attempts", m_attempts }, { "routing", m_routing ? m_routing->version() : 0 } };
-    if (m_head.promptTokens) {
-        fields["promptTokens"] = *m_head.promptTokens;
-        fields["outputTokens"] = m_head.outputTokens;
-        if (m_head.expectedTokens)
-            fields["expectedTokens"] = *m_head.expectedTokens;
+    nlohmann::json fields { { "request", m_admission.head.requestId }, { "ageMs", std::lround(toMs(monotonicNow() - m_arrived)) },
+        { "attempts", m_attempts }, { "routing", m_admission.routing ? m_admission.routing->version() : 0 } };
+    if (m_admission.head.promptTokens) {
+        fields["promptTokens"] = *m_admission.head.promptTokens;
+        fields["outputTokens"] = m_admission.head.outputTokens;
+        if (m_admission.head.expectedTokens)
+            fields["expectedTokens"] = *m_admission.head.expectedTokens;
     }
-    if (m_route) {
-        fields["route"] = m_route->name;
-        fields["kind"] = nameOf(m_route->kind);
-        fields["rank"] = rank();
+    if (m_admission.route) {
+        fields["route"] = m_admission.route->name;
+        fields["kind"] = toString(m_admission.route->kind);
+        fields["rank"] = m_admission.rank();
     }
-    if (m_organisation)
-        fields["organisation"] = m_organisation->name;
+    if (m_admission.organisation)
+        fields["organisation"] = m_admission.organisation->name;
     if (m_quotaRefusal) {
         fields["quotaUsed"] = m_quotaRefusal->used;
         fields["quotaAllowed"] = m_quotaRefusal->allowed;
@@ -567,14 +505,14 @@
     if (current.events)
         fields["events"] = current.events;
     if (outcome == Outcome::Answered) {
-        m_context.metrics.countRequest(m_route->rank, "completed");
-        m_context.metrics.observeLatency("first-byte", m_route->name, toSeconds(current.firstByte - m_arrived));
-        m_context.metrics.observeLatency("whole", m_route->name, toSeconds(monotonicNow() - m_arrived));
+        m_context.metrics.countRequest(m_admission.route->rank, "completed");
+        m_context.metrics.observeLatency("first-byte", m_admission.route->name, toSeconds(current.firstByte - m_arrived));
+        m_context.metrics.observeLatency("whole", m_admission.route->name, toSeconds(monotonicNow() - m_arrived));
         m_context.log.write(events::requestAnswered, std::move(fields));
         return;
     }
     if (outcome == Outcome::CallerGone) {
-        m_context.metrics.countRequest(m_route->rank, "caller-left");
+        m_context.metrics.countRequest(m_admission.route->rank, "caller-left");
         m_context.log.write(events::callerLeft, std::move(fields));
         return;
     }
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <base/Problem.h>
+#include "Admission.h"
+
 #include <gateway/EventStream.h>
 #include <gateway/GatewayContext.h>
 #include <net/CallerConnection.h>
@@ -47,10 +48,8 @@
         std::string problem;
     };
 
-    std::optional<Problem> admit();
-    std::optional<Problem> admitOrganisation();
+    void setDeadlines();
     Task<std::optional<Problem>> takeQuota();
-    std::string chooseService() const;
     PlaceAsk makeAsk();
     Task<bool> serve();
     Task<Outcome> dispatch(Dispatch&);
@@ -71,7 +70,6 @@
     Task<bool> sendWhole(const AnswerHead&, const std::string& body);
     void onCallerLeft();
     Duration left(TimePoint until) const;
-    int rank() const;
     Duration callerAge();
     bool isKeepAlive() const;
     Duration idleTimeout() const;
@@ -81,10 +79,7 @@
     GatewayContext& m_context;
     CallerConnection& m_caller;
     WholeRequest m_request;
-    CallerHead m_head;
-    RoutingTablePointer m_routing;
-    const GatewayRoute* m_route = nullptr;
-    const GatewayOrganisation* m_organisation = nullptr;
+    Admission m_admission;
     std::shared_ptr<const std::string> m_body;
     std::string m_service;
     TimePoint m_arrived;
--- a/libs/gateway/src/RoutingTable.cpp
+++ b/libs/gateway/src/RoutingTable.cpp
@@ -3,6 +3,19 @@
 
 namespace bronzeswitch {
 
+const char* toString(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Idempotent:
+        return "idempotent";
+    case RequestKind::NonIdempotent:
+        return "non-idempotent";
+    case RequestKind::Stream:
+        break;
+    }
+    return "stream";
+}
+
 namespace {
 
 Findings check(const RoutingDocument& document)
--- a/libs/net/include/net/Async.h
+++ b/libs/net/include/net/Async.h
@@ -32,6 +32,9 @@
 /** @return the monotonic time. */
 TimePoint monotonicNow();
 
+/** @return the time of day in Unix milliseconds; only to be written down, never to be compared with other clocks. */
+int64_t unixMilliseconds();
+
 /** Suspends the calling task. */
 Task<void> sleepFor(Executor, Duration);
 
--- a/libs/net/include/net/StatusServer.h
+++ b/libs/net/include/net/StatusServer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <net/CallerConnection.h>
+#include <net/Acceptor.h>
 
 #include <functional>
 #include <memory>
@@ -23,7 +23,6 @@
 
 private:
     StatusServer(TcpAcceptor, Handler);
-    Task<void> acceptAll();
     Task<void> serve(std::shared_ptr<CallerConnection>);
 
     TcpAcceptor m_acceptor;
@@ -31,7 +30,4 @@
     std::function<void(const std::string&)> m_onFailure;
 };
 
-/** Opens a listening socket. */
-Result<TcpAcceptor> listenAt(Executor, const asio::ip::tcp::endpoint&);
-
 } // namespace bronzeswitch
--- a/libs/net/src/Async.cpp
+++ b/libs/net/src/Async.cpp
@@ -7,6 +7,11 @@
 
 TimePoint monotonicNow() { return std::chrono::steady_clock::now(); }
 
+int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 Task<void> sleepFor(Executor executor, Duration duration) { return sleepUntil(executor, monotonicNow() + duration); }
 
 Task<void> sleepUntil(Executor executor, TimePoint time)
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -2,6 +2,7 @@
 
 #include <config/Configuration.h>
 #include <sched/AdmissionLimit.h>
+#include <sched/CandidateShare.h>
 #include <sched/NodeCounts.h>
 #include <sched/PrefixHistory.h>
 #include <sched/SpeedEstimate.h>
@@ -15,19 +16,6 @@
 
 namespace bronzeswitch {
 
-/** Which versions of a route may get traffic. */
-struct VersionPlan {
-    std::string route;
-    std::string model;
-    std::string stable;
-    std::string candidate; /**< Empty when no rollout runs. */
-    double share = 0; /**< Largest share of the route's grants that the candidate may get. */
-    std::string rollout;
-    int64_t step = 0; /**< Offset of the rollout step that set the share. */
-
-    bool operator==(const VersionPlan&) const = default;
-};
-
 /** Everything that a pool's home needs from the configuration. */
 struct PoolPlan {
     std::vector<Upstream> upstreams;
@@ -200,12 +188,6 @@
         int load() const { return std::max(counts.places() + foreign, counts.load()); }
     };
 
-    struct ShareCount {
-        int64_t step = 0;
-        int64_t total = 0;
-        int64_t candidate = 0;
-    };
-
     struct Choice {
         UpstreamState* upstream = nullptr;
         bool isCandidate = false;
@@ -235,8 +217,6 @@
     void freeUnusedPlaces(const std::string& node, TimePoint now);
     void learn(UpstreamState&, const PlaceDone&, TimePoint now);
     const VersionPlan* versionPlan(const std::string& route) const;
-    bool mayUseCandidate(const VersionPlan&);
-    void countGrant(const VersionPlan&, bool isCandidate);
     double weightOf(const std::string& organisation) const;
     Duration estimatedWait(int rank, TimePoint now) const;
 
@@ -247,9 +227,7 @@
     std::map<PlaceKey, Place> m_places;
     int m_topRank = std::numeric_limits<int>::max(); /**< Highest rank that has asked here. */
     double m_topPeak = 0; /**< Most places that the highest rank held lately; decays. */
-    std::map<std::string, ShareCount> m_shares;
-    std::map<std::string, int64_t> m_allowances; /**< Places that a candidate may still get, by rollout. */
-    std::set<std::string> m_stoppedRollouts;
+    CandidateShare m_candidates;
 };
 
 } // namespace bronzeswitch
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -253,35 +253,12 @@
     return best;
 }
 
-bool PoolScheduler::mayUseCandidate(const VersionPlan& plan)
-{
-    if (plan.candidate.empty() || m_stoppedRollouts.contains(plan.rollout))
-        return false;
-    if (const auto allowance = m_allowances.find(plan.rollout); allowance != m_allowances.end())
-        return allowance->second > 0;
-    auto& count = m_shares[plan.rollout];
-    if (count.step != plan.step)
-        count = { plan.step, 0, 0 };
-    return static_cast<double>(count.candidate + 1) <= plan.share * static_cast<double>(count.total + 1);
-}
-
-void PoolScheduler::countGrant(const VersionPlan& plan, bool isCandidate)
-{
-    if (plan.candidate.empty())
-        return;
-    auto& count = m_shares[plan.rollout];
-    ++count.total;
-    count.candidate += isCandidate ? 1 : 0;
-    if (const auto allowance = m_allowances.find(plan.rollout); isCandidate && allowance != m_allowances.end())
-        --allowance->second;
-}
-
 PoolScheduler::Choice PoolScheduler::choose(const Waiter& waiter, TimePoint now)
 {
     const auto* plan = versionPlan(waiter.ask.route);
     if (!plan)
         return {};
-    if (mayUseCandidate(*plan)) {
+    if (m_candidates.mayUse(*plan)) {
         if (auto* upstream = bestOf(waiter, *plan, plan->candidate, now))
             return { upstream, true };
     }
@@ -312,7 +289,7 @@
 PlaceGrant PoolScheduler::grant(const Waiter& waiter, const Choice& choice, TimePoint now)
 {
     const auto& plan = *versionPlan(waiter.ask.route);
-    countGrant(plan, choice.isCandidate);
+    m_candidates.onGrant(plan, choice.isCandidate);
     auto& state = *choice.upstream;
     state.speed.onDispatch(uncachedTokens(state, waiter.ask), now);
     state.prefixes.onDispatch(waiter.ask.prefixes);
@@ -497,7 +474,7 @@
     return result;
 }
 
-void PoolScheduler::allowCandidate(const std::string& rollout, int64_t places) { m_allowances[rollout] = places; }
+void PoolScheduler::allowCandidate(const std::string& rollout, int64_t places) { m_candidates.allow(rollout, places); }
 
 int PoolScheduler::load(const std::string& upstream) const
 {
@@ -505,7 +482,7 @@
     return found == m_upstreams.end() ? 0 : found->second.counts.load();
 }
 
-void PoolScheduler::stopRollout(const std::string& rollout) { m_stoppedRollouts.insert(rollout); }
+void PoolScheduler::stopRollout(const std::string& rollout) { m_candidates.stop(rollout); }
 
 PlaceDecisions PoolScheduler::tick(TimePoint now)
 {
