--- a/libs/gateway/include/gateway/CallerServer.h
+++ b/libs/gateway/include/gateway/CallerServer.h
@@ -30,7 +30,7 @@
 private:
     CallerServer(GatewayContext&, TcpAcceptor);
 
-    void take(std::shared_ptr<CallerConnection>);
+    void take(const std::shared_ptr<CallerConnection>&);
     Task<void> serve(std::shared_ptr<CallerConnection>);
     Task<void> answerProblem(CallerConnection&, ReadProblem);
 
--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -53,10 +53,10 @@
         m_context.log.write(events::taskFailed, { { "task", "accept" }, { "reason", reason } });
     };
     acceptConnections(
-        m_acceptor, [this](std::shared_ptr<CallerConnection> connection) { take(std::move(connection)); }, onFailure);
+        m_acceptor, [this](const std::shared_ptr<CallerConnection>& connection) { take(connection); }, onFailure);
 }
 
-void CallerServer::take(std::shared_ptr<CallerConnection> connection)
+void CallerServer::take(const std::shared_ptr<CallerConnection>& connection)
 {
     startTask(m_context.executor, serve(connection), [this, connection](const std::string& reason) {
         m_connections.erase(connection);
--- a/libs/net/include/net/Acceptor.h
+++ b/libs/net/include/net/Acceptor.h
@@ -17,6 +17,6 @@
  * @param onFailure called with the reason of each error.
  */
 void acceptConnections(TcpAcceptor& acceptor, std::function<void(std::shared_ptr<CallerConnection>)> onConnection,
-    std::function<void(const std::string&)> onFailure);
+    const std::function<void(const std::string&)>& onFailure);
 
 } // namespace bronzeswitch
--- a/libs/net/src/Acceptor.cpp
+++ b/libs/net/src/Acceptor.cpp
@@ -42,7 +42,7 @@
 }
 
 void acceptConnections(TcpAcceptor& acceptor, std::function<void(std::shared_ptr<CallerConnection>)> onConnection,
-    std::function<void(const std::string&)> onFailure)
+    const std::function<void(const std::string&)>& onFailure)
 {
     startTask(acceptor.get_executor(), acceptAll(acceptor, std::move(onConnection), onFailure), onFailure);
 }
