Look only at the upstream that came free while all others are full

Change: while the pool is full an ask waits without a look, an end offers the one upstream that came free, and reports that free nothing cause no pass; places are counted by rank as they come and go.

Before: 36,000 looks for 60 asks and ends beside 120 full engines. Conclusion: the work of a full pool no longer grows with its engines.

--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -147,6 +147,9 @@
     PlaceDecisions refuseAll(RefusalReason);
 
     std::size_t waiting() const { return m_waiting.size(); }
+
+    /** @return how often an upstream was looked at for an ask so far. */
+    uint64_t examined() const { return m_examined; }
     std::size_t inFlight() const { return m_places.size(); }
     int inFlight(const std::string& upstream) const;
 
@@ -194,12 +197,17 @@
     };
 
     using PlaceKey = std::pair<std::string, uint64_t>;
+    using WaitingKind = std::pair<std::string, int>; /**< Route and rank; asks of one kind find room alike. */
 
     PlaceDecisions grantWaiting(TimePoint now);
+    PlaceDecisions grantFreed(const std::string& upstream, TimePoint now);
+    PlaceDecisions offer(UpstreamState* only, TimePoint now);
+    bool isFull(TimePoint now) const;
     std::optional<PlaceDecision> makeRoom(const Waiter&);
     std::optional<PlaceRefuse> hopeless(const Waiter&, TimePoint now) const;
-    Choice choose(const Waiter&, TimePoint now);
-    UpstreamState* bestOf(const Waiter&, const VersionPlan&, const std::string& version, TimePoint now);
+    Choice choose(const Waiter&, UpstreamState* only, TimePoint now);
+    UpstreamState* bestOf(const Waiter&, const VersionPlan&, const std::string& version, UpstreamState* only, TimePoint now);
+    bool fits(const UpstreamState&, const Waiter&, const VersionPlan&, const std::string& version, TimePoint now) const;
     bool isUsable(const UpstreamState&, const Waiter&, const VersionPlan&, const std::string& version) const;
     bool hasRoom(const UpstreamState&, TimePoint now) const;
     bool isNear(const UpstreamState&) const;
@@ -214,18 +222,22 @@
     PlaceGrant grant(const Waiter&, const Choice&, TimePoint now);
     void addPlace(Place);
     void freePlace(const Place&);
-    void freeUnusedPlaces(const std::string& node, TimePoint now);
+    void countPlace(const Place&, int change);
+    bool freeUnusedPlaces(const std::string& node, TimePoint now);
     void learn(UpstreamState&, const PlaceDone&, TimePoint now);
     const VersionPlan* versionPlan(const std::string& route) const;
     double weightOf(const std::string& organisation) const;
     Duration estimatedWait(int rank, TimePoint now) const;
 
     TimePoint m_settleUntil;
+    uint64_t m_examined = 0;
     PoolPlan m_plan;
     std::map<std::string, UpstreamState> m_upstreams;
     WaitingRoom m_waiting;
     std::map<PlaceKey, Place> m_places;
     int m_topRank = std::numeric_limits<int>::max(); /**< Highest rank that has asked here. */
+    std::map<int, int> m_placesOfRank;
+    bool m_wasFull = false; /**< No upstream had room when all were last looked at. */
     double m_topPeak = 0; /**< Most places that the highest rank held lately; decays. */
     CandidateShare m_candidates;
 };
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -103,6 +103,8 @@
             return decisions;
     }
     m_waiting.push(waiter);
+    if (m_wasFull)
+        return decisions;
     auto granted = grantWaiting(now);
     decisions.insert(decisions.end(), granted.begin(), granted.end());
     return decisions;
@@ -199,8 +201,8 @@
 
 int PoolScheduler::topInFlight() const
 {
-    return static_cast<int>(
-        std::count_if(m_places.begin(), m_places.end(), [&](const auto& place) { return place.second.ask.rank == m_topRank; }));
+    const auto found = m_placesOfRank.find(m_topRank);
+    return found == m_placesOfRank.end() ? 0 : found->second;
 }
 
 void PoolScheduler::notePeak() { m_topPeak = std::max<double>(m_topPeak, topInFlight()); }
@@ -227,21 +229,31 @@
     return fastest;
 }
 
+bool PoolScheduler::fits(
+    const UpstreamState& state, const Waiter& waiter, const VersionPlan& plan, const std::string& version, TimePoint now) const
+{
+    if (!isUsable(state, waiter, plan, version) || !hasRoom(state, now))
+        return false;
+    const double secondsLeft = toSeconds(waiter.deadline - now);
+    const double service = serviceSeconds(state, waiter.ask);
+    if (lengthMargin * service <= secondsLeft)
+        return true;
+    return service <= secondsLeft && service <= nearFastest * fastestService(waiter, plan, version);
+}
+
+// Looks at one upstream only where all others are known to have no room.
 PoolScheduler::UpstreamState* PoolScheduler::bestOf(
-    const Waiter& waiter, const VersionPlan& plan, const std::string& version, TimePoint now)
+    const Waiter& waiter, const VersionPlan& plan, const std::string& version, UpstreamState* only, TimePoint now)
 {
     if (isReserved(waiter.ask.rank, now))
         return nullptr;
+    m_examined += only ? 1 : m_upstreams.size();
+    if (only)
+        return fits(*only, waiter, plan, version, now) ? only : nullptr;
     UpstreamState* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const double secondsLeft = toSeconds(waiter.deadline - now);
-    const double fastest = fastestService(waiter, plan, version);
     for (auto& [name, state] : m_upstreams) {
-        if (!isUsable(state, waiter, plan, version) || !hasRoom(state, now))
-            continue;
-        const double service = serviceSeconds(state, waiter.ask);
-        const bool isAmongFastest = service <= nearFastest * fastest;
-        if (service > secondsLeft || (lengthMargin * service > secondsLeft && !isAmongFastest))
+        if (!fits(state, waiter, plan, version, now))
             continue;
         const double cost = placeCost(state, waiter.ask, now);
         const bool isBetter = cost < bestCost || (cost == bestCost && state.lastGrant < best->lastGrant);
@@ -253,31 +265,32 @@
     return best;
 }
 
-PoolScheduler::Choice PoolScheduler::choose(const Waiter& waiter, TimePoint now)
+PoolScheduler::Choice PoolScheduler::choose(const Waiter& waiter, UpstreamState* only, TimePoint now)
 {
     const auto* plan = versionPlan(waiter.ask.route);
     if (!plan)
         return {};
     if (m_candidates.mayUse(*plan)) {
-        if (auto* upstream = bestOf(waiter, *plan, plan->candidate, now))
+        if (auto* upstream = bestOf(waiter, *plan, plan->candidate, only, now))
             return { upstream, true };
     }
-    return { bestOf(waiter, *plan, plan->stable, now), false };
+    return { bestOf(waiter, *plan, plan->stable, only, now), false };
 }
 
-PlaceDecisions PoolScheduler::grantWaiting(TimePoint now)
+// After one ask of a kind found no room, the others of that kind are passed over.
+PlaceDecisions PoolScheduler::offer(UpstreamState* only, TimePoint now)
 {
     PlaceDecisions decisions;
     if (now < m_settleUntil)
         return decisions;
-    std::set<std::pair<std::string, int>> blocked;
+    std::set<WaitingKind> blocked;
     m_waiting.drain([&](const Waiter& waiter) {
-        const std::pair key { waiter.ask.route, waiter.ask.rank };
-        if (blocked.contains(key))
+        const WaitingKind kind { waiter.ask.route, waiter.ask.rank };
+        if (blocked.contains(kind))
             return WaitingQueue::Offer::Skip;
-        const auto choice = choose(waiter, now);
+        const auto choice = choose(waiter, only, now);
         if (!choice.upstream) {
-            blocked.insert(key);
+            blocked.insert(kind);
             return WaitingQueue::Offer::Skip;
         }
         decisions.push_back({ waiter.node, grant(waiter, choice, now) });
@@ -286,6 +299,29 @@
     return decisions;
 }
 
+bool PoolScheduler::isFull(TimePoint now) const
+{
+    return std::none_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) { return hasRoom(item.second, now); });
+}
+
+PlaceDecisions PoolScheduler::grantWaiting(TimePoint now)
+{
+    auto decisions = offer(nullptr, now);
+    m_wasFull = m_waiting.size() > 0 && isFull(now);
+    return decisions;
+}
+
+// A place that comes free at one upstream is of use there only, so the work for it does not grow with the pool.
+PlaceDecisions PoolScheduler::grantFreed(const std::string& upstream, TimePoint now)
+{
+    const auto state = m_upstreams.find(upstream);
+    if (!m_wasFull || state == m_upstreams.end())
+        return grantWaiting(now);
+    auto decisions = offer(&state->second, now);
+    m_wasFull = !hasRoom(state->second, now);
+    return decisions;
+}
+
 PlaceGrant PoolScheduler::grant(const Waiter& waiter, const Choice& choice, TimePoint now)
 {
     const auto& plan = *versionPlan(waiter.ask.route);
@@ -304,6 +340,7 @@
     const auto state = m_upstreams.find(place.upstream);
     if (state != m_upstreams.end())
         state->second.counts.addPlace(place.node);
+    countPlace(place, 1);
     const PlaceKey key { place.node, place.ask.id };
     m_places.emplace(key, std::move(place));
     notePeak();
@@ -314,6 +351,15 @@
     const auto state = m_upstreams.find(place.upstream);
     if (state != m_upstreams.end())
         state->second.counts.removePlace(place.node);
+    countPlace(place, -1);
+}
+
+void PoolScheduler::countPlace(const Place& place, int change)
+{
+    auto& count = m_placesOfRank[place.ask.rank];
+    count += change;
+    if (count <= 0)
+        m_placesOfRank.erase(place.ask.rank);
 }
 
 void PoolScheduler::cancel(const std::string& node, uint64_t askId)
@@ -333,7 +379,7 @@
     freePlace(place);
     if (ended)
         *ended = place;
-    return grantWaiting(now);
+    return grantFreed(place.upstream, now);
 }
 
 void PoolScheduler::learn(UpstreamState& state, const PlaceDone& done, TimePoint now)
@@ -415,8 +461,8 @@
         state.backlogUntil = std::max(state.backlogUntil, now + backlog);
         state.speed.onSuggestion(load.betweenTokensMs);
     }
-    freeUnusedPlaces(node, now);
-    return grantWaiting(now);
+    const bool isAnyFreed = freeUnusedPlaces(node, now);
+    return isAnyFreed || !m_wasFull ? grantWaiting(now) : PlaceDecisions {};
 }
 
 void PoolScheduler::setReported(const std::string& node, const std::string& upstream, int running)
@@ -426,8 +472,9 @@
 }
 
 // The end of a dispatch may not have been heard of, or its grant may never have arrived.
-void PoolScheduler::freeUnusedPlaces(const std::string& node, TimePoint now)
+bool PoolScheduler::freeUnusedPlaces(const std::string& node, TimePoint now)
 {
+    bool isAnyFreed = false;
     std::map<std::string, int> held;
     for (auto place = m_places.lower_bound({ node, 0 }); place != m_places.end() && place->first.first == node;) {
         const auto state = m_upstreams.find(place->second.upstream);
@@ -437,9 +484,11 @@
             ++place;
             continue;
         }
+        isAnyFreed = true;
         freePlace(place->second);
         place = m_places.erase(place);
     }
+    return isAnyFreed;
 }
 
 std::map<std::string, NodeLoad> PoolScheduler::learned(TimePoint now) const
--- a/libs/sched/tests/SchedTests.cpp
+++ b/libs/sched/tests/SchedTests.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <deque>
 #include <sched/PoolScheduler.h>
 
 using namespace bronzeswitch;
@@ -345,3 +346,34 @@
     CHECK(history.size() == 2);
     CHECK(history.nextEvent() == 10);
 }
+
+TEST_CASE("the work for an ask and for a place that comes free does not grow with the number of full engines")
+{
+    constexpr int engines = 120;
+    constexpr int slots = 2;
+    constexpr int ranks = 4;
+    std::vector<Upstream> upstreams;
+    upstreams.reserve(engines);
+    for (int i = 0; i < engines; ++i)
+        upstreams.push_back(engine("e" + std::to_string(i), slots));
+    auto pool = poolOf(planOf(std::move(upstreams), 1000));
+    uint64_t id = 0;
+    std::deque<uint64_t> running;
+    for (int i = 0; i < engines * slots; ++i) {
+        REQUIRE(isGrant(pool.ask("n1", askOf(++id, 0), start).at(0)));
+        running.push_back(id);
+    }
+    for (int i = 0; i < 200; ++i)
+        pool.ask("n1", askOf(++id, i % ranks), start);
+    const auto before = pool.examined();
+    constexpr int rounds = 60; // As many as there are asks of the highest rank, which keeps its places.
+    for (int i = 0; i < rounds; ++i) {
+        CHECK(pool.ask("n1", askOf(++id, i % ranks), start).empty());
+        const auto granted = pool.done("n1", doneOf(running.front(), DispatchOutcome::Cancelled), start);
+        running.pop_front();
+        REQUIRE(granted.size() == 1);
+        running.push_back(idOf(granted[0]));
+    }
+    constexpr int looksPerRound = 2 * (ranks + 1);
+    CHECK(pool.examined() - before <= static_cast<uint64_t>(rounds) * looksPerRound);
+}
