--- a/libs/base/include/base/Problem.h
+++ b/libs/base/include/base/Problem.h
@@ -21,6 +21,9 @@
     bool operator==(const Problem&) const = default;
 };
 
+/** @return the refusal of a request that has not run. */
+Problem notRun(int status, std::string reason, std::string detail, std::optional<Duration> retryAfter = std::nullopt);
+
 /** @return the stable name of an execution state: "not-run" or "unknown". */
 const char* toString(Execution);
 
--- a/libs/base/include/base/TimerService.h
+++ b/libs/base/include/base/TimerService.h
@@ -9,6 +9,8 @@
 using Duration = std::chrono::milliseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, std::chrono::nanoseconds>;
 
+inline constexpr double millisecondsPerSecond = 1000;
+
 /** Converts a duration between two points to fractional seconds. */
 double toSeconds(TimePoint::duration);
 
--- a/libs/base/src/Problem.cpp
+++ b/libs/base/src/Problem.cpp
@@ -3,6 +3,11 @@
 
 namespace bronzeswitch {
 
+Problem notRun(int status, std::string reason, std::string detail, std::optional<Duration> retryAfter)
+{
+    return { status, std::move(reason), Execution::NotRun, std::move(detail), retryAfter };
+}
+
 const char* toString(Execution execution) { return execution == Execution::NotRun ? "not-run" : "unknown"; }
 
 std::string toJsonText(const Problem& problem)
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -109,6 +109,7 @@
     void noteUsage(const NodeReport&);
     void rememberUsage(const NodeReport&);
     void send(const std::string& address, const Message&);
+    void sendBytes(const std::string& address, const std::string& bytes);
     void sendToAll(const Message&);
     void configurePlaces();
     void advanceRollouts(TimePoint now);
--- a/libs/gateway/include/gateway/RolloutDesk.h
+++ b/libs/gateway/include/gateway/RolloutDesk.h
@@ -91,10 +91,13 @@
         {
         }
 
+        /** @return true when the end stands in the durable record. */
+        bool isEndRecorded() const { return recorded && isOver(*recorded); }
+
         ServiceRollout rollout;
         TimePoint started;
-        std::map<std::string, RouteTally> own;
-        std::map<std::string, RouteTally> retired; /**< Of peers' earlier lives. */
+        RouteTallies own;
+        RouteTallies retired; /**< Of peers' earlier lives. */
         std::map<std::string, RolloutReport> peers;
         bool isRecordRead = false;
         std::optional<RolloutPhase> recorded;
@@ -105,7 +108,7 @@
 
     Duration elapsed(const State&, TimePoint now) const;
     std::vector<RouteTally> totals(const State&) const;
-    VersionTally* tallyOf(const std::string& service, const std::string& route, const std::string& version);
+    VersionTally* ownTally(const std::string& service, const std::string& route, const std::string& version);
     std::optional<RolloutPhase> duePhase(const State&, TimePoint now) const;
     void logPhase(const State&, RolloutPhase before, TimePoint now);
 
--- a/libs/gateway/src/Admission.cpp
+++ b/libs/gateway/src/Admission.cpp
@@ -11,11 +11,6 @@
 constexpr Duration configurationWait { 500 };
 constexpr int ranksOfRoutes = 16; // Requests of equal organisations keep the order of their routes.
 
-Problem notRun(int status, std::string reason, std::string detail, std::optional<Duration> retryAfter = std::nullopt)
-{
-    return { status, std::move(reason), Execution::NotRun, std::move(detail), retryAfter };
-}
-
 double randomShare()
 {
     static std::mt19937_64 generator { std::random_device {}() };
--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -15,13 +15,13 @@
 {
     switch (problem) {
     case ReadProblem::Malformed:
-        return Problem { httpstatus::badRequest, "malformed", Execution::NotRun, "not a request", std::nullopt };
+        return notRun(httpstatus::badRequest, "malformed", "not a request");
     case ReadProblem::HeadTooLarge:
-        return Problem { httpstatus::headTooLarge, "head-too-large", Execution::NotRun, "the head is too large", std::nullopt };
+        return notRun(httpstatus::headTooLarge, "head-too-large", "the head is too large");
     case ReadProblem::BodyTooLarge:
-        return Problem { httpstatus::payloadTooLarge, "body-too-large", Execution::NotRun, "the body is too large", std::nullopt };
+        return notRun(httpstatus::payloadTooLarge, "body-too-large", "the body is too large");
     case ReadProblem::TooSlow:
-        return Problem { httpstatus::requestTimeout, "too-slow", Execution::NotRun, "the request did not arrive in time", std::nullopt };
+        return notRun(httpstatus::requestTimeout, "too-slow", "the request did not arrive in time");
     case ReadProblem::Closed:
         break;
     }
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -203,9 +203,10 @@
 
 void GatewayNode::onDatagram(const DatagramEndpoint& from, const std::string& bytes)
 {
+    const auto sender = text(from);
     const auto message = decode(bytes);
     if (!message) {
-        m_log.write(events::recordSkipped, { { "from", text(from) }, { "reason", message.error().message } });
+        m_log.write(events::recordSkipped, { { "from", sender }, { "reason", message.error().message } });
         return;
     }
     if (const auto* news = std::get_if<StateNews>(&*message)) {
@@ -214,32 +215,31 @@
     }
     const auto* report = std::get_if<NodeReport>(&*message);
     if (!report) {
-        m_places.onMessage(text(from), *message);
+        m_places.onMessage(sender, *message);
         return;
     }
-    if (m_peers.onReport(text(from), *report, monotonicNow()))
+    if (m_peers.onReport(sender, *report, monotonicNow()))
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.nodes() } });
-    m_rollouts.setPeerReports(text(from), report->incarnation, report->rollouts, monotonicNow());
+    m_rollouts.setPeerReports(sender, report->incarnation, report->rollouts, monotonicNow());
     noteUsage(*report);
     rememberUsage(*report);
-    m_places.setPeerLoads(text(from), report->loads);
+    m_places.setPeerLoads(sender, report->loads);
 }
 
-void GatewayNode::send(const std::string& address, const Message& message)
+void GatewayNode::send(const std::string& address, const Message& message) { sendBytes(address, encode(message)); }
+
+void GatewayNode::sendBytes(const std::string& address, const std::string& bytes)
 {
     const auto endpoint = parseEndpoint(address);
     if (endpoint)
-        m_datagrams->send({ endpoint->address(), endpoint->port() }, encode(message));
+        m_datagrams->send({ endpoint->address(), endpoint->port() }, bytes);
 }
 
 void GatewayNode::sendToAll(const Message& message)
 {
     const auto bytes = encode(message);
-    for (const auto& address : m_peers.addresses()) {
-        const auto endpoint = parseEndpoint(address);
-        if (endpoint)
-            m_datagrams->send({ endpoint->address(), endpoint->port() }, bytes);
-    }
+    for (const auto& address : m_peers.addresses())
+        sendBytes(address, bytes);
 }
 
 std::string GatewayNode::homeOf(const std::string& pool) const
--- a/libs/gateway/src/PlaceDesk.cpp
+++ b/libs/gateway/src/PlaceDesk.cpp
@@ -9,7 +9,6 @@
 constexpr const char* stableVersion = "stable";
 constexpr const char* candidateVersion = "candidate";
 constexpr const char* retiredVersion = "retired"; // Gets nothing.
-constexpr double millisecondsPerSecond = 1000;
 constexpr NominalSpeed engineSpeed { 55000, 3.6 };
 constexpr double lowerRankShare = 0.1;
 constexpr Duration answerBound { 40 }; // For a home's first word on an ask.
--- a/libs/gateway/src/QuotaAccount.cpp
+++ b/libs/gateway/src/QuotaAccount.cpp
@@ -76,13 +76,13 @@
     const double allowed = allowance(quota, blindness);
     QuotaRefusal result { m_bounds.window, m_used, static_cast<int64_t>(allowed) };
     double excess = static_cast<double>(m_used + tokens) - allowed;
-    result.isUnsettled = excess <= 0;
-    const auto oldestUntold = m_untold.empty() ? now : m_untold.front().time;
-    if (result.isUnsettled)
+    if (excess <= 0) {
+        const auto oldestUntold = m_untold.empty() ? now : m_untold.front().time;
+        result.isUnsettled = true;
         result.wait = std::max(shortestWait, std::chrono::ceil<Duration>(oldestUntold + tellTime - now));
+        return result;
+    }
     for (const auto& use : m_uses) {
-        if (result.isUnsettled)
-            break;
         excess -= static_cast<double>(use.tokens);
         if (excess > 0)
             continue;
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -1,6 +1,7 @@
 #include "RequestTask.h"
 
 #include <algorithm>
+#include <array>
 #include <base/HttpStatus.h>
 #include <boost/beast/core/string.hpp>
 #include <cmath>
@@ -14,9 +15,7 @@
 constexpr std::size_t maxExcluded = 4; // Upstreams that could not be reached, for one request.
 constexpr int maxStrayAnswers = 2; // Answers to earlier requests that are skipped on a connection.
 constexpr int maxQuotaWaits = 3;
-constexpr Duration configurationWait { 500 };
 constexpr Duration leastRetryAfter { 100 };
-constexpr double millisecondsPerSecond = 1000;
 
 double toMs(TimePoint::duration duration) { return toSeconds(duration) * millisecondsPerSecond; }
 
@@ -104,8 +103,8 @@
     }
     if (!m_quotaRefusal)
         co_return std::nullopt;
-    Problem problem { httpstatus::tooManyRequests, "quota", Execution::NotRun, "the organisation's quota is used up",
-        std::max(m_quotaRefusal->wait, leastRetryAfter) };
+    auto problem = notRun(
+        httpstatus::tooManyRequests, "quota", "the organisation's quota is used up", std::max(m_quotaRefusal->wait, leastRetryAfter));
     co_return problem;
 }
 
@@ -439,8 +438,8 @@
     Problem problem;
     if (worst == Outcome::NotRun) {
         const Duration wait(m_refusal ? m_refusal->retryAfterMs : 0);
-        problem = { httpstatus::serviceUnavailable, m_refusal ? toString(m_refusal->reason) : "upstreams-unavailable", Execution::NotRun,
-            "no upstream could take the request", std::max(wait, leastRetryAfter) };
+        problem = notRun(httpstatus::serviceUnavailable, m_refusal ? toString(m_refusal->reason) : "upstreams-unavailable",
+            "no upstream could take the request", std::max(wait, leastRetryAfter));
     } else
         problem = { isLate ? httpstatus::gatewayTimeout : httpstatus::badGateway, isLate ? "timeout" : "upstream-failed",
             Execution::Unknown, "the upstream's answer is missing or incomplete", std::nullopt };
--- a/libs/gateway/src/RolloutDesk.cpp
+++ b/libs/gateway/src/RolloutDesk.cpp
@@ -8,8 +8,6 @@
 
 constexpr Duration othersWriteAfter { 1500 }; // When the node whose task it is may not reach the record.
 
-bool isOver(RolloutPhase phase) { return phase == RolloutPhase::TakenBack || phase == RolloutPhase::Completed; }
-
 void count(std::vector<int64_t>& buckets, double milliseconds)
 {
     if (milliseconds <= 0)
@@ -54,27 +52,27 @@
         state.rollout.adopt(*phase);
 }
 
-VersionTally* RolloutDesk::tallyOf(const std::string& service, const std::string& route, const std::string& version)
+VersionTally* RolloutDesk::ownTally(const std::string& service, const std::string& route, const std::string& version)
 {
     const auto found = m_states.find(service);
     if (found == m_states.end())
         return nullptr;
     auto& state = found->second;
-    if (state.recorded && isOver(*state.recorded))
+    if (state.isEndRecorded())
         return nullptr;
-    auto& tally = state.own.try_emplace(route, RouteTally { route, {}, {} }).first->second;
+    auto& tally = tallyOf(state.own, route);
     return version == state.rollout.order().target ? &tally.candidate : &tally.stable;
 }
 
 void RolloutDesk::onSent(const std::string& service, const std::string& route, const std::string& version)
 {
-    if (auto* tally = tallyOf(service, route, version))
+    if (auto* tally = ownTally(service, route, version))
         ++tally->sent;
 }
 
 void RolloutDesk::onAnswer(const std::string& service, const std::string& route, const std::string& version, const VersionAnswer& answer)
 {
-    auto* tally = tallyOf(service, route, version);
+    auto* tally = ownTally(service, route, version);
     if (!tally)
         return;
     ++(answer.isFailed ? tally->failed : tally->answered);
@@ -92,10 +90,8 @@
     for (auto& [service, state] : m_states) {
         const auto before = state.peers.find(peer);
         if (isRestarted && before != state.peers.end()) {
-            for (const auto& tally : before->second.routes) {
-                auto& sum = state.retired.try_emplace(tally.route, RouteTally { tally.route, {}, {} }).first->second;
-                sum = sum + tally;
-            }
+            for (const auto& tally : before->second.routes)
+                addTally(state.retired, tally);
             state.peers.erase(before);
         }
     }
@@ -116,14 +112,12 @@
 std::vector<RouteTally> RolloutDesk::totals(const State& state) const
 {
     auto sums = state.own;
-    const auto addTally = [&](const RouteTally& tally) {
-        auto& sum = sums.try_emplace(tally.route, RouteTally { tally.route, {}, {} }).first->second;
-        sum = sum + tally;
-    };
     for (const auto& [route, tally] : state.retired)
-        addTally(tally);
-    for (const auto& [peer, report] : state.peers)
-        std::for_each(report.routes.begin(), report.routes.end(), addTally);
+        addTally(sums, tally);
+    for (const auto& [peer, report] : state.peers) {
+        for (const auto& tally : report.routes)
+            addTally(sums, tally);
+    }
     std::vector<RouteTally> result;
     result.reserve(sums.size());
     for (auto& [route, tally] : sums)
@@ -140,9 +134,8 @@
         const auto& order = state.rollout.order();
         RolloutReport report { service, order.target, order.duration.count(), order.id, state.rollout.phase(), elapsed(state, now).count(),
             {} };
-        const bool isRecorded = state.recorded && isOver(*state.recorded);
         for (const auto& [route, tally] : state.own) {
-            if (!isRecorded)
+            if (!state.isEndRecorded())
                 report.routes.push_back(tally);
         }
         result.push_back(std::move(report));
@@ -207,7 +200,7 @@
 {
     std::vector<RolloutOrder> orders;
     for (const auto& [service, state] : m_states) {
-        if (!state.recorded || !isOver(*state.recorded))
+        if (!state.isEndRecorded())
             orders.push_back(state.rollout.order());
     }
     return orders;
@@ -216,7 +209,7 @@
 // The phase that the record lacks: the start, and the end once it is certain.
 std::optional<RolloutPhase> RolloutDesk::duePhase(const State& state, TimePoint now) const
 {
-    if (!state.isRecordRead || (state.recorded && isOver(*state.recorded)))
+    if (!state.isRecordRead || state.isEndRecorded())
         return std::nullopt;
     if (state.rollout.phase() == RolloutPhase::TakenBack)
         return RolloutPhase::TakenBack;
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -21,7 +21,6 @@
 constexpr Duration historySpan { 12000 };
 constexpr int foreignTolerance = 1;
 constexpr Duration unusedPlaceAge { 1000 }; // Until then the node's report may be older than its place.
-constexpr double millisecondsPerSecond = 1000;
 constexpr Duration retryFloor { 200 };
 constexpr Duration retryCeiling { 30000 };
 
--- a/libs/sched/src/SpeedEstimate.cpp
+++ b/libs/sched/src/SpeedEstimate.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr double smoothing = 0.2;
-constexpr double millisecondsPerSecond = 1000;
 
 } // namespace
 
--- a/libs/trial/include/trial/ServiceRollout.h
+++ b/libs/trial/include/trial/ServiceRollout.h
@@ -28,6 +28,18 @@
     bool operator==(const ExposureBounds&) const = default;
 };
 
+/** Counts by route. */
+using RouteTallies = std::map<std::string, RouteTally>;
+
+/** @return the counts of a route, which begin at nothing. */
+RouteTally& tallyOf(RouteTallies&, const std::string& route);
+
+/** Adds the counts of a route. */
+void addTally(RouteTallies& sums, const RouteTally&);
+
+/** @return true if a phase is an end. */
+bool isOver(RolloutPhase);
+
 /**
  * The decisions of one rollout, from what all nodes together have seen.
  *
@@ -80,7 +92,7 @@
 
     RolloutOrder m_order;
     ExposureBounds m_bounds;
-    std::map<std::string, RouteTally> m_totals;
+    RouteTallies m_totals;
     std::map<std::string, RolloutJudge> m_routes;
     RolloutJudge m_service;
     int64_t m_requests = 0;
@@ -90,7 +102,4 @@
     std::string m_reason;
 };
 
-/** @return the sum of two counts of one route. */
-RouteTally operator+(RouteTally, const RouteTally&);
-
 } // namespace bronzeswitch
--- a/libs/trial/src/ServiceRollout.cpp
+++ b/libs/trial/src/ServiceRollout.cpp
@@ -65,13 +65,20 @@
 
 } // namespace
 
-RouteTally operator+(RouteTally sum, const RouteTally& other)
+RouteTally& tallyOf(RouteTallies& tallies, const std::string& route)
 {
-    add(sum.stable, other.stable);
-    add(sum.candidate, other.candidate);
-    return sum;
+    return tallies.try_emplace(route, RouteTally { route, {}, {} }).first->second;
 }
 
+void addTally(RouteTallies& sums, const RouteTally& tally)
+{
+    auto& sum = tallyOf(sums, tally.route);
+    add(sum.stable, tally.stable);
+    add(sum.candidate, tally.candidate);
+}
+
+bool isOver(RolloutPhase phase) { return phase == RolloutPhase::TakenBack || phase == RolloutPhase::Completed; }
+
 ServiceRollout::ServiceRollout(RolloutOrder order, ExposureBounds bounds)
     : m_order(std::move(order))
     , m_bounds(bounds)
@@ -84,7 +91,7 @@
     m_candidateRequests = 0;
     m_candidateAnswers = 0;
     for (const auto& total : totals) {
-        auto& before = m_totals.try_emplace(total.route, RouteTally { total.route, {}, {} }).first->second;
+        auto& before = tallyOf(m_totals, total.route);
         judge(total, before);
         before = total;
         m_requests += total.stable.sent + total.candidate.sent;
@@ -104,8 +111,7 @@
             m_service.observe({ sample.isCandidate, sample.isFailed, 0, 0, 0, 0 });
         }
     }
-    const bool isOver = m_phase == RolloutPhase::TakenBack || m_phase == RolloutPhase::Completed;
-    if (isOver)
+    if (isOver(m_phase))
         return;
     if (route.verdict() == Verdict::Bad)
         takeBack(now.route + ": " + route.reason());
