Limit an upstream by its reported load for a short time only, and keep peers' reports from limiting plain services

Cause: PoolScheduler kept what an upstream reported beyond the known slots until that upstream's next response. A node that once saw all upstreams of a pool full sent nothing, so no response came and it was locked out for good. Besides, plain services were limited by peers' counts that are older than their requests last.

Ruled out: the accept loop and processor time (the fault shows with --no-cpu).

Change: UntrackedLoad limits an upstream less and less within 300 ms after a report and orders upstreams by a smoothed count. Plain pools count only their own requests; the upstream's short queue does the rest. Plain requests that wait longer than twice their target are refused early. Slot requests name their data centre.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <base/Hash.h>
 #include <base/HttpStatus.h>
 #include <boost/beast/core/string.hpp>
 #include <cmath>
@@ -18,6 +19,8 @@
 constexpr std::size_t maxUnreachableUpstreams = 4; // Per request.
 constexpr int maxStaleResponses = 2; // Responses to earlier requests that are skipped on a connection.
 constexpr Duration minRetryAfter { 100 };
+constexpr uint64_t retrySpreadMs = 400; // Keeps the callers that an upstream rejected at one moment from returning together.
+constexpr int plainStartTimeoutFactor = 2; // Of the target latency; a plain request that waits longer for a slot is refused.
 
 double toMs(TimePoint::duration duration) { return toSeconds(duration) * millisecondsPerSecond; }
 
@@ -128,10 +131,14 @@
     request.rank = m_resolved.rank();
     request.promptTokens = m_resolved.metadata.promptTokens.value_or(0);
     request.outputTokens = m_resolved.metadata.expectedTokens.value_or(m_resolved.metadata.outputTokens);
-    request.firstTokenTargetMs = m_resolved.route->kind == RequestKind::Stream
-        ? std::max(Duration(1), m_resolved.route->targetLatency - elapsedBeforeArrival()).count()
-        : 0;
-    request.startTimeoutMs = m_resolved.route->kind == RequestKind::Stream ? timeLeft(m_firstEventDeadline).count() : 0;
+    const auto& route = *m_resolved.route;
+    if (route.kind == RequestKind::Stream) {
+        request.firstTokenTargetMs = std::max(Duration(1), route.targetLatency - elapsedBeforeArrival()).count();
+        request.startTimeoutMs = timeLeft(m_firstEventDeadline).count();
+    } else {
+        request.firstTokenTargetMs = route.targetLatency.count();
+        request.startTimeoutMs = std::min(timeLeft(m_deadline), plainStartTimeoutFactor * route.targetLatency).count();
+    }
     request.prefixes = m_resolved.metadata.prefixes;
     request.excluded = m_excludedUpstreams;
     return request;
@@ -462,9 +469,10 @@
     const bool isLate = monotonicNow() >= m_deadline;
     Problem problem;
     if (worstOutcome == Outcome::NotRun) {
-        const Duration wait(m_refusal ? m_refusal->retryAfterMs : 0);
+        const Duration spread(static_cast<int64_t>(stableHash(m_context.node, m_slotRequestId) % retrySpreadMs));
+        const Duration wait = m_refusal ? Duration(m_refusal->retryAfterMs) : spread;
         problem = notRunProblem(httpstatus::serviceUnavailable, m_refusal ? toString(m_refusal->reason) : "upstreams-unavailable",
-            "no upstream could take the request", std::max(wait, minRetryAfter));
+            "no upstream could take the request", m_refusal ? std::max(wait, minRetryAfter) : minRetryAfter + wait);
     } else
         problem = { isLate ? httpstatus::gatewayTimeout : httpstatus::badGateway, isLate ? "timeout" : "upstream-failed",
             Execution::Unknown, "the upstream's answer is missing or incomplete", std::nullopt };
--- a/libs/gateway/src/SlotAllocator.cpp
+++ b/libs/gateway/src/SlotAllocator.cpp
@@ -14,6 +14,7 @@
 constexpr Duration firstResponseTimeout { 40 }; // For the home node's first response to a request.
 constexpr int maxUnansweredSends = 2; // After this many sends without a response this node decides on the request itself.
 constexpr Duration resendInterval { 250 }; // For a request that is queued at the home node, in case a message was lost.
+constexpr Duration loadReportLifetime { 300 }; // Upstreams report their load only with responses.
 constexpr int defaultServiceSlots = 6; // If neither the service nor its upstream states a number.
 
 // Returns the role of an upstream's version. While a service moves to a target that has no upstream left, its other
@@ -63,6 +64,9 @@
     plan.dataCentre = dataCentre;
     plan.nominalSpeed = nominalEngineSpeed;
     plan.lowerRankShare = lowerRankShare;
+    plan.loadReportLifetime = loadReportLifetime;
+    // Peers' reports are older than the requests to a plain service last; its upstreams' own queues are short.
+    plan.countsPeerReports = service.isEngine();
     const auto& entries = directory.entries();
     const bool hasTarget = rule && std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
         return item.second.service == service.name && item.second.version == rule->target && !item.second.isDraining;
@@ -149,6 +153,7 @@
     if (!findPool(request.pool))
         co_return tl::unexpected(SlotRefusal { request.id, RefusalReason::NoUpstream, 0 });
     request.deadlineMs = std::chrono::duration_cast<Duration>(deadline - start).count();
+    request.dataCentre = m_dataCentre;
     const auto pending = std::make_shared<PendingRequest>(m_executor, request);
     m_pending[request.id] = pending;
     const auto startDeadline = request.startTimeoutMs ? std::min(deadline, start + Duration(request.startTimeoutMs)) : deadline;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -73,6 +73,7 @@
     bool isForced = false; /**< Set after repeated NotHome refusals: the receiver decides even if it is not the home node. */
     int64_t firstTokenTargetMs = 0; /**< Target for the time to the first token, 0 for none. */
     int64_t startTimeoutMs = 0; /**< Time after which the caller gives up if no output has arrived, 0 for none. */
+    std::string dataCentre {}; /**< Of the requesting node; upstreams there are preferred. Empty for no preference. */
 
     bool operator==(const SlotRequest&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -27,7 +27,7 @@
     else if constexpr (std::is_same_v<Type, SlotRequest>)
         return std::tie(message.id, message.pool, message.route, message.organisation, message.rank, message.promptTokens,
             message.outputTokens, message.deadlineMs, message.prefixes, message.excluded, message.isForced, message.firstTokenTargetMs,
-            message.startTimeoutMs);
+            message.startTimeoutMs, message.dataCentre);
     else if constexpr (std::is_same_v<Type, SlotGrant>)
         return std::tie(message.id, message.upstream, message.version, message.rollout);
     else if constexpr (std::is_same_v<Type, SlotRefusal>)
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -7,6 +7,7 @@
 #include <sched/PoolQueue.h>
 #include <sched/PrefixCacheEstimate.h>
 #include <sched/SpeedEstimate.h>
+#include <sched/UntrackedLoad.h>
 
 #include <limits>
 #include <map>
@@ -25,7 +26,11 @@
     NominalSpeed nominalSpeed;
     /** Share of the granted work that each waiting rank gets even while higher ranks wait; 0 for strict priority. */
     double lowerRankShare = 0;
-    std::string dataCentre; /**< Preferred data centre: where the requests come from. Empty for no preference. */
+    std::string dataCentre; /**< Preferred data centre of requests that name none. Empty for no preference. */
+    /** For how long an upstream's report of its load limits it. Short where reports come with responses; see UntrackedLoad. */
+    Duration loadReportLifetime { 10000 };
+    /** Whether requests that other nodes report to run at an upstream count against its limit. */
+    bool countsPeerReports = true;
 
     bool operator==(const PoolPlan&) const = default;
 };
@@ -197,13 +202,10 @@
         PrefixCacheEstimate prefixCache;
         bool isPaused = false;
         InFlightByNode inFlight;
-        int untracked = 0; /**< Requests that the upstream reports but this scheduler does not know. */
+        UntrackedLoad untracked; /**< Requests that the upstream reports but this scheduler does not know. */
         TimePoint backlogUntil {}; /**< When the prompts sent by other nodes will have been processed, by their reports. */
         TimePoint lastGrantAt {};
         std::deque<std::pair<TimePoint, int>> inFlightHistory; /**< Granted slots at each recent tick. */
-
-        /** @return the requests in flight there, including those of other schedulers. */
-        int load() const { return std::max(inFlight.grantedSlots() + untracked, inFlight.load()); }
     };
 
     struct Choice {
@@ -224,8 +226,10 @@
     UpstreamState* cheapestUpstream(const Waiter&, const VersionPlan&, const std::string& version, UpstreamState* only, TimePoint now);
     bool canServe(const UpstreamState&, const Waiter&, const VersionPlan&, const std::string& version, TimePoint now) const;
     bool isUsable(const UpstreamState&, const Waiter&, const VersionPlan&, const std::string& version) const;
+    /** @return the requests in flight there, including those of other schedulers. */
+    int loadOf(const UpstreamState&, TimePoint now) const;
     bool hasFreeSlot(const UpstreamState&, TimePoint now) const;
-    bool isInPreferredDataCentre(const UpstreamState&) const;
+    bool isInPreferredDataCentre(const UpstreamState&, const SlotRequest&) const;
     bool isReservedForTopRank(int rank, TimePoint now) const;
     void updateTopRankPeak();
     int topRankInFlight() const;
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -186,10 +186,11 @@
     const double firstToken = firstTokenSeconds(state, request, now);
     const bool isLikelyLate = request.firstTokenTargetMs > 0
         && firstToken * millisecondsPerSecond > firstTokenShareOfTarget * static_cast<double>(request.firstTokenTargetMs);
-    const double load = fullLoadPenaltySeconds * (state.load() + 1) / std::max(1, state.limit.value(now));
+    const double requests = std::max<double>(loadOf(state, now), state.inFlight.grantedSlots() + state.untracked.smoothed(now));
+    const double load = fullLoadPenaltySeconds * (requests + 1) / std::max(1, state.limit.value(now));
     const double interference = prefillInterferenceWeight * state.speed.prefillSeconds(uncachedTokens(state, request));
     return firstToken + interference + state.speed.decodeSeconds(request.outputTokens) + load + (isLikelyLate ? latePenaltySeconds : 0)
-        + (isInPreferredDataCentre(state) ? 0 : remoteDataCentrePenaltySeconds);
+        + (isInPreferredDataCentre(state, request) ? 0 : remoteDataCentrePenaltySeconds);
 }
 
 bool PoolScheduler::isUsable(const UpstreamState& state, const Waiter& waiter, const VersionPlan& plan, const std::string& version) const
@@ -200,7 +201,13 @@
     return std::find(excluded.begin(), excluded.end(), state.config.name) == excluded.end();
 }
 
-bool PoolScheduler::hasFreeSlot(const UpstreamState& state, TimePoint now) const { return state.load() < state.limit.value(now); }
+int PoolScheduler::loadOf(const UpstreamState& state, TimePoint now) const
+{
+    const int known = state.inFlight.grantedSlots() + state.untracked.limiting(now);
+    return m_plan.countsPeerReports ? std::max(known, state.inFlight.load()) : known;
+}
+
+bool PoolScheduler::hasFreeSlot(const UpstreamState& state, TimePoint now) const { return loadOf(state, now) < state.limit.value(now); }
 
 int PoolScheduler::topRankInFlight() const
 {
@@ -432,7 +439,7 @@
     if (!report.version.empty())
         state.version = report.version;
     if (report.age > maxReportAge) {
-        state.untracked = 0;
+        state.untracked.onReport(0, m_plan.loadReportLifetime, now);
         return;
     }
     // The report describes the past, so it is compared with the slots granted at that time.
@@ -442,8 +449,9 @@
         if (time <= measuredAt)
             inFlightThen = count;
     }
-    state.untracked
-        = std::max(0, report.running + report.waiting - std::max(inFlightThen, state.inFlight.grantedSlots()) - untrackedTolerance);
+    const int own = std::max(inFlightThen, state.inFlight.grantedSlots());
+    state.untracked.onReport(
+        std::max(0, report.running + report.waiting - own - untrackedTolerance), m_plan.loadReportLifetime, now);
 }
 
 void PoolScheduler::onCacheEvent(const std::string& upstream, int64_t sequence, bool isStored, uint64_t prefix)
@@ -509,9 +517,10 @@
     return result;
 }
 
-bool PoolScheduler::isInPreferredDataCentre(const UpstreamState& state) const
+bool PoolScheduler::isInPreferredDataCentre(const UpstreamState& state, const SlotRequest& request) const
 {
-    return m_plan.dataCentre.empty() || state.config.dataCentre == m_plan.dataCentre;
+    const auto& preferred = request.dataCentre.empty() ? m_plan.dataCentre : request.dataCentre;
+    return preferred.empty() || state.config.dataCentre == preferred;
 }
 
 void PoolScheduler::setPaused(const std::string& upstream, bool isPaused)
--- /dev/null
+++ b/libs/sched/tests/PlainServiceModel.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <sched/PoolScheduler.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bronzeswitch {
+
+/** Outcome of the requests that arrived within one second of a replay. */
+struct SecondOfService {
+    int arrived = 0;
+    int inTime = 0; /**< Answered within the target latency. */
+    int answered = 0;
+    int refused = 0; /**< Refused by the scheduler, or by an upstream whose queue was full. */
+    int unanswered = 0; /**< Neither answered nor refused before the caller's deadline. */
+};
+
+/**
+ * Replays the requests to a plain service through the schedulers of all nodes in one process, with a driven clock.
+ *
+ * Each node has its own scheduler of the pool, as on a gateway, and learns the load of an upstream only from its responses. An
+ * upstream runs a number of requests at a time, queues a few more and rejects the rest.
+ */
+class PlainServiceModel {
+public:
+    struct Options {
+        int nodes = 9;
+        int dataCentres = 3; /**< Each has one upstream and an equal part of the nodes. */
+        double requestsPerSecond = 335;
+        double burstFactor = 1.7; /**< Of the arrivals while the burst lasts. */
+        int burstFromSecond = 8;
+        int burstToSecond = 13;
+        int seconds = 24;
+        Duration loadReportLifetime { 300 };
+        unsigned seed = 1;
+    };
+
+    explicit PlainServiceModel(Options);
+
+    /** @return the outcome by second of arrival. */
+    std::vector<SecondOfService> run();
+
+private:
+    enum class EventKind { Arrival, AtUpstream, WorkDone, Response, Deadline, Tick };
+
+    struct Event {
+        EventKind kind = EventKind::Tick;
+        std::size_t request = 0;
+    };
+
+    struct Request {
+        std::size_t node = 0;
+        TimePoint arrivedAt {};
+        std::size_t upstream = 0;
+        bool isRejected = false;
+        bool hasEnded = false;
+        LoadReport load; /**< Of the upstream when it responded. */
+    };
+
+    struct ModelUpstream {
+        int running = 0;
+        std::deque<std::size_t> queue;
+    };
+
+    void schedule(TimePoint, Event);
+    void planArrivals();
+    void handle(const Event&);
+    void deliver(std::size_t node, const SlotDecisions&);
+    void arriveAtUpstream(std::size_t request);
+    void finishWork(std::size_t request);
+    void respond(std::size_t request);
+    SecondOfService& secondOf(const Request&);
+
+    Options m_options;
+    std::mt19937 m_random;
+    TimePoint m_now;
+    std::multimap<TimePoint, Event> m_events;
+    std::deque<PoolScheduler> m_schedulers; /**< By node; they must not move. */
+    std::vector<ModelUpstream> m_upstreams;
+    std::vector<Request> m_requests;
+    std::vector<SecondOfService> m_seconds;
+};
+
+} // namespace bronzeswitch
