--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -52,6 +52,8 @@
     "A service that the node depends on can be reached again." };
 inline constexpr Event stateFetched { 226, "state-fetched", EventLevel::Info, "State newer than the node's own was taken from a peer." };
 inline constexpr Event membersChanged { 300, "members-changed", EventLevel::Info, "The set of live, ready nodes has changed." };
+inline constexpr Event delegateChanged { 301, "delegate-changed", EventLevel::Info,
+    "This node begins or ceases to exchange reports with the nodes of all data centres." };
 inline constexpr Event homeTaken { 310, "home-taken", EventLevel::Info, "This node is the home of a pool or of a group of quotas now." };
 inline constexpr Event homeLeft { 311, "home-left", EventLevel::Info,
     "This node is no longer the home of a pool or of a group of quotas." };
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -57,6 +57,8 @@
     UpstreamDirectory directory;
     std::map<std::string, RetryBudget> retryBudgets; /**< By service. */
     std::function<int()> nodeCount; /**< @return how many nodes may use the upstreams, with this one. */
+    /** Makes sure that the routing is the newest one, by reading its source if need be. @return false if that is not known. */
+    std::function<Task<bool>()> confirmRouting {};
     std::map<std::string, Duration> longestTimeouts {}; /**< Longest timeout that callers have sent, by route. */
     bool isDraining = false;
     int activeRequests = 0;
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 
 namespace bronzeswitch {
 
@@ -44,6 +45,7 @@
         std::function<std::string(bool withDirectory)> encodeState; /**< @return this node's state. */
         std::function<void(const std::string&)> applyState; /**< Applies a peer's state where it is newer. */
         std::function<void(const std::string&)> applyChanges; /**< Applies changes that a peer has announced. */
+        std::function<Task<bool>()> confirmRouting {}; /**< Makes sure that the routing is the newest; false if that is not known. */
     };
 
     /** Creates a node and binds its endpoints. @return the node, or Unavailable if an address can't be bound. */
@@ -69,7 +71,13 @@
      * agree without further messages which ones read the source on behalf of all.
      * @return how many nodes rank before this one. Nodes that can't reach the source rank after all others.
      */
-    int sourceRank() const;
+    int sourceRank() const { return sourceRankAmong(m_peers.peersReachingSource()); }
+
+    /** @return the same among the nodes of this node's data centre. */
+    int sourceRankInDataCentre() const { return sourceRankAmong(m_peers.peersReachingSource(m_options.dataCentre)); }
+
+    /** @return true if a peer has a newer routing than this node. */
+    bool isRoutingOutdated() const;
 
     /** Sets whether this node can reach the source of routing and directory. */
     void setSourceReachable(bool isReachable) { m_isSourceReachable = isReachable; }
@@ -114,25 +122,37 @@
     Task<void> runMaintenance();
     Task<void> fetchPeerState();
 
+    /** A peer that has state which this node lacks. */
+    struct FetchTarget {
+        std::string address;
+        bool needsDirectory = false; /**< The directory is fetched as well as the routing. */
+    };
+
     /**
      * Looks for a peer that has a newer routing, or that has read more of the directory while this node's offset stays the same.
-     * @param address set to the peer's address.
-     * @param needsDirectory set to true if the directory is to be fetched as well as the routing.
-     * @return true if there is one.
+     * @return the peer to ask now, or nothing.
      */
-    bool findNewerPeer(std::string& address, bool& needsDirectory) const;
+    std::optional<FetchTarget> chooseFetchTarget();
+
+    Task<void> fetchFrom(const FetchTarget&);
+    int sourceRankAmong(const std::vector<std::string>& readers) const;
+
+    void reportNow();
+
+    /** Builds the next report, without peers. */
+    NodeReport makeReport();
 
-    void broadcastReport();
+    /** Sends a report to the peers that need it. */
+    void sendReport(NodeReport);
 
-    /** Builds the next report. @param withPeers also names some live peers, so that nodes come to know each other. */
-    NodeReport makeReport(bool withPeers);
+    void updateDelegate();
 
     /**
      * Chooses the home node of a key, which decides for a pool or a group of quotas, by rendezvous hashing.
-     * @param peers candidates; this node is added if it is ready or if there are no others.
+     * @param delegates candidates; this node is added if it is a ready delegate or if there are no others.
      * @return the address of the home node.
      */
-    std::string homeOf(const std::string& key, std::vector<std::string> peers) const;
+    std::string homeOf(const std::string& key, std::vector<std::string> delegates) const;
 
     void send(const std::string& address, const Message&);
     void sendBytes(const std::string& address, const std::string& bytes);
@@ -162,6 +182,9 @@
     TimePoint m_directoryOffsetChangedAt {};
     int64_t m_incarnation = 0; /**< Unix milliseconds of the node's start. */
     uint64_t m_sequence = 0; /**< Of the last report. */
+    TimePoint m_routingOutdatedSince = TimePoint::max(); /**< When this node learned of a newer routing that it still lacks. */
+    std::minstd_rand m_random { std::random_device {}() };
+    bool m_isDelegate = true;
     bool m_isSourceReachable = true;
     bool m_isStopping = false;
 };
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <base/TimerService.h>
+#include <gateway/DelegatePolicy.h>
+#include <gateway/StateFetchPolicy.h>
 #include <protocol/Messages.h>
 
 #include <map>
@@ -15,11 +17,30 @@
 struct PeerTimeouts {
     Duration liveTimeout { 1500 }; /**< A peer counts as live for this long after its last report. */
     Duration minSuspicionTime { 1000 }; /**< A peer that did not respond is avoided for at least this long, and until its next report. */
+    Duration newDelegateTime { 1500 }; /**< For this long, each report names a new delegate. */
     Duration forgetTimeout { 30000 }; /**< An address without a report for this long is dropped. */
 
     bool operator==(const PeerTimeouts&) const = default;
 };
 
+/** The node to which a view belongs. */
+struct OwnNode {
+    std::string address;
+    std::string dataCentre;
+    int capacity = 0; /**< CPU time that the node may use, in thousandths of a core; 0 if unknown. */
+
+    bool operator==(const OwnNode&) const = default;
+};
+
+/** The addresses to which a node sends its reports. */
+struct ReportTargets {
+    std::vector<std::string> withLoads; /**< Delegates, which are or may become homes of pools, and nodes not heard of yet. */
+    std::vector<std::string> withoutLoads;
+
+    std::size_t size() const { return withLoads.size() + withoutLoads.size(); }
+    bool operator==(const ReportTargets&) const = default;
+};
+
 /**
  * A node's view of its peers, built from their periodic reports.
  *
@@ -28,10 +49,10 @@
  */
 class PeerView {
 public:
-    explicit PeerView(PeerTimeouts);
+    explicit PeerView(PeerTimeouts, DelegatePolicy = {});
 
-    /** Sets this node's own address, which is not a peer. */
-    void setOwnAddress(const std::string&);
+    /** Sets the node to which the view belongs; its own address is not a peer. */
+    void setOwnNode(OwnNode);
 
     /** Adds the address of a possible peer. Seeds are never dropped. */
     void addAddress(const std::string& address, bool isSeed, TimePoint now);
@@ -42,19 +63,32 @@
     /** Drops addresses without recent reports. @return the addresses of peers that have stopped being live. */
     std::vector<std::string> expire(TimePoint now);
 
-    /** @return all known addresses; reports are sent to each of them. */
+    /** @return all known addresses. */
     std::vector<std::string> addresses() const;
 
+    /** @return true if this node is a delegate; see DelegatePolicy. */
+    bool isDelegate() const;
+
+    /** @return the addresses to which this node sends its reports. */
+    ReportTargets reportTargets() const;
+
     /** @return the addresses of live peers. */
     std::vector<std::string> livePeers() const;
 
     /**
-     * @return addresses of live peers to name in a report. Each call continues where the last one ended, so that all peers get to
-     * know each other although a report names only some of them.
+     * @return live peers to name in a report: delegates and nodes of the receivers' data centre. Each call continues where the last one
+     * ended, so that all peers get to know each other although a report names only some of them.
+     * @param dataCentre of the receivers.
      */
-    std::vector<std::string> nextPeersToName(std::size_t count);
+    std::vector<NamedPeer> nextPeersToName(std::size_t count, const std::string& dataCentre);
 
-    /** @return the addresses of live peers that are ready and not draining. */
+    /**
+     * @return peers that became delegates a short time ago. Every report names them: a new delegate doesn't know the nodes of other data
+     * centres yet, so these have to learn of it from the other delegates.
+     */
+    std::vector<NamedPeer> newDelegates() const;
+
+    /** @return the addresses of live delegates that are ready and not draining. */
     std::vector<std::string> readyPeers() const;
 
     /** @return the addresses of ready peers that are not suspected of being unresponsive. */
@@ -67,22 +101,37 @@
      */
     std::vector<std::string> filterByCapacity(std::vector<std::string> addresses, int ownCapacity) const;
 
-    /** @return the addresses of live peers that have not reported the source of routing and directory as unreachable. */
-    std::vector<std::string> peersReachingSource() const;
+    /**
+     * @return the live peers that have not reported the source of routing and directory as unreachable.
+     * @param dataCentre only peers there; empty for all.
+     */
+    std::vector<std::string> peersReachingSource(const std::string& dataCentre = {}) const;
+
+    /** @return CPU capacity that a live peer has reported, 0 if unknown. */
+    int capacityOf(const std::string& address) const;
 
     /** Marks a peer that did not respond, to exclude it from responsivePeers() for a while. */
     void suspect(const std::string& address, TimePoint now);
 
-    /** @return the number of live nodes, including this one. */
-    int liveNodeCount() const { return static_cast<int>(livePeers().size()) + 1; }
+    /** @return the number of nodes that are live to this node or to a delegate, including this one. */
+    int liveNodeCount() const;
 
-    /** @return the number of nodes that may exist, including this one: every peer that has ever reported and was not dropped. */
+    /** @return the number of nodes that may exist, including this one, as far as this node or a delegate has heard of them recently. */
     int knownNodeCount() const;
 
-    /** @return the report of the live peer with the newest routing, or null if none is newer. @param address set to the peer's address. */
-    const NodeReport* newestRoutingPeer(int64_t newerThan, std::string& address) const;
+    /** @return the number of peers that are live to this node, and this node. */
+    int heardLiveNodeCount() const { return static_cast<int>(livePeers().size()) + 1; }
+
+    /** @return the number of peers that this node has heard of itself and not dropped, and this node. */
+    int heardNodeCount() const;
 
-    /** @return the same for the offset up to which peers have read the directory. */
+    /**
+     * @return the live peers that have the newest routing known, empty if none is newer than a version.
+     * @param dataCentre of this node.
+     */
+    std::vector<StateHolder> newestRoutingHolders(int64_t newerThan, const std::string& dataCentre) const;
+
+    /** @return the report of the live peer that has read most of the directory, or null. @param address set to the peer's address. */
     const NodeReport* newestDirectoryPeer(int64_t newerThan, std::string& address) const;
 
 private:
@@ -93,13 +142,19 @@
         TimePoint added {};
         TimePoint lastReport {};
         TimePoint suspected {}; /**< When it last failed to respond. */
+        TimePoint delegateSince {}; /**< When this node learned that it is a delegate. */
         NodeReport report;
     };
 
     bool isSuspected(const Peer&) const;
+    bool isInOwnDataCentre(const Peer& peer) const { return peer.report.dataCentre == m_own.dataCentre; }
+
+    /** @return true if this node exchanges reports with the peer. */
+    bool isRelevant(const NamedPeer& peer) const { return peer.isDelegate || peer.dataCentre == m_own.dataCentre; }
 
-    std::string m_ownAddress;
+    OwnNode m_own;
     PeerTimeouts m_timeouts;
+    DelegatePolicy m_delegatePolicy;
     std::map<std::string, Peer> m_peers;
     std::string m_lastNamed;
     TimePoint m_now {}; /**< Time of the last expire(). */
--- a/libs/gateway/include/gateway/RolloutController.h
+++ b/libs/gateway/include/gateway/RolloutController.h
@@ -38,7 +38,7 @@
  *
  *     controller.addOrder(order, now);
  *     controller.onDispatched("reader", "lookup", upstream.version);
- *     controller.tick(now, isLeader, isStableVersionIdle);
+ *     controller.tick(now, isDelegate, isLeader, isStableVersionIdle);
  */
 class RolloutController {
 public:
@@ -66,11 +66,13 @@
 
     /**
      * Advances all rollouts. Called periodically.
+     * @param mayJudge whether this node hears the counts of all nodes, so that it can judge a version.
      * @param isLeader returns whether this node decides when to move a service.
      * @param isStableVersionIdle returns whether no request runs on a service's stable version any more.
      * @return the services whose version rule has changed.
      */
-    std::vector<std::string> tick(TimePoint now, const ServicePredicate& isLeader, const ServicePredicate& isStableVersionIdle);
+    std::vector<std::string> tick(
+        TimePoint now, bool mayJudge, const ServicePredicate& isLeader, const ServicePredicate& isStableVersionIdle);
 
     /** @return the version rules in force. */
     VersionRules rules() const;
--- a/libs/gateway/include/gateway/SlotAllocator.h
+++ b/libs/gateway/include/gateway/SlotAllocator.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 
 namespace bronzeswitch {
 
@@ -20,7 +19,7 @@
  *
  * A slot is the permission to run one request at an upstream. The engines of one service form a pool with a home node, which
  * queues the slot requests of all nodes in one order. Requests to plain services are short, so each node allocates their slots
- * itself. If a home node does not respond in time, it is avoided for a while, and this node decides from the loads that the nodes
+ * itself, except while a new version of the service is on trial. If a home node does not respond in time, it is avoided for a while, and this node decides from the loads that the nodes
  * report to each other: no guarantee depends on the home node.
  *
  *     auto grant = co_await allocator.acquire(request, deadline);
@@ -45,10 +44,10 @@
     void configure(const RoutingTable&, const UpstreamDirectory&, const VersionRules& = {});
 
     /**
-     * Allows a service's candidate version a number of further slots, counted over all nodes.
-     * @param nodes number of nodes that share the slots if the service has no home node.
+     * Allows a service's candidate version a number of further slots, if this is the home node of the service's pool. Other nodes
+     * grant it no slots.
      */
-    void allowCandidate(const std::string& service, const std::string& rollout, int64_t slots, int nodes);
+    void allowCandidate(const std::string& service, const std::string& rollout, int64_t slots);
 
     /** @return true if, to this node's knowledge, no node runs a request at the upstream. */
     bool isIdle(const std::string& service, const std::string& upstream) const;
@@ -127,7 +126,6 @@
     std::map<uint64_t, std::string> m_grantors; /**< Nodes that granted the slots in use on this node, by request identifier. */
     std::map<std::string, int> m_running; /**< This node's running requests by upstream. */
     uint64_t m_lastRequestId = 0;
-    std::minstd_rand m_random;
 };
 
 /** @return the configuration of a service's scheduler. @param dataCentre of the deciding node. @param rule null if the service has none. */
--- a/libs/gateway/include/gateway/SourceReadPolicy.h
+++ b/libs/gateway/include/gateway/SourceReadPolicy.h
@@ -21,6 +21,7 @@
     Duration substituteDelayStep { 150 }; /**< Further delay per rank. */
     int maxDelaySteps = 4; /**< Upper bound of the steps; later nodes wait no longer. */
     int routingWatchers = 4; /**< Number of nodes that wait at the source for routing changes. */
+    int routingWatchersPerDataCentre = 1; /**< Further ones in each data centre, from which the nodes there take a large routing. */
 
     /**
      * @return the longest time that a node lets pass since the last read of the directory, by itself or by a peer that announced it.
@@ -38,7 +39,10 @@
     bool shouldReadDirectory(int rank, Duration silence) const { return silence >= maxSilence(rank); }
 
     /** @return true if a node should wait for routing changes at the source. After a long silence, it may be cut off from its peers. */
-    bool shouldWatchRouting(int rank, Duration silence) const { return rank < routingWatchers || shouldReadDirectory(rank, silence); }
+    bool shouldWatchRouting(int rank, int rankInDataCentre, Duration silence) const
+    {
+        return rank < routingWatchers || rankInDataCentre < routingWatchersPerDataCentre || shouldReadDirectory(rank, silence);
+    }
 
     bool operator==(const SourceReadPolicy&) const = default;
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -9,15 +9,16 @@
 namespace {
 
 constexpr Duration reportInterval { 100 };
-constexpr int idleReportFactor = 5; // A node without new information reports at this multiple of the interval.
-constexpr std::size_t nodesAtFullRate = 16; // Above this number, the interval grows with the number of nodes.
+constexpr std::size_t idleReportFactor = 5; // A node without new information reports at this multiple of the interval.
+constexpr std::size_t targetsPerIntervalUnit = 8; // The interval grows with the number of nodes that get a report.
+constexpr std::size_t maxIntervalFactor = 5; // Two reports may be lost before a peer counts as lost.
 constexpr int reportsPerPeerList = 10; // One report in so many names peers.
 constexpr std::size_t peersPerReport = 24;
+constexpr std::size_t peersForNewNode = 64; // All of a data centre and the delegates, so that a new node soon knows them.
 constexpr Duration maintenanceInterval { 100 };
 constexpr Duration connectionSweepInterval { 1000 };
-constexpr Duration stateFetchTimeout { 1000 };
+constexpr StateFetchPolicy fetchPolicy;
 constexpr Duration directoryStaleAfter { 800 }; // Without a change of the directory's offset.
-constexpr Duration stateFetchInterval { 100 };
 constexpr std::size_t maxStateBytes = 16UL * 1024 * 1024;
 constexpr const char* statePath = "/state";
 constexpr const char* routingStatePath = "/state?routing"; // Leaves out the directory, which is much larger.
@@ -35,12 +36,11 @@
     return response;
 }
 
-// Returns true if a report differs from the last one in more than its sequence number, its list of peers, and elapsed times.
+// Returns true if a report differs from the last one in more than its sequence number and elapsed times.
 bool hasNewInformation(const NodeReport& report, const NodeReport& last)
 {
     auto comparable = report;
     comparable.sequence = last.sequence;
-    comparable.peers = last.peers;
     for (std::size_t index = 0; index < std::min(comparable.rollouts.size(), last.rollouts.size()); ++index)
         comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
     return comparable != last;
@@ -95,12 +95,13 @@
     if (!peerServer)
         return tl::unexpected(peerServer.error());
     m_peerServer = std::move(*peerServer);
+    m_peerServer->limitLargeResponses(fetchPolicy.responseLimit);
     const auto bound = m_peerServer->endpoint();
     auto datagrams = DatagramSocket::create(m_context.executor, { bound.address(), bound.port() });
     if (!datagrams)
         return tl::unexpected(datagrams.error());
     m_datagrams = std::move(*datagrams);
-    m_peers.setOwnAddress(peerAddress());
+    m_peers.setOwnNode({ peerAddress(), m_options.dataCentre, m_options.capacity });
     return true;
 }
 
@@ -116,6 +117,7 @@
 void GatewayNode::start(StateCallbacks stateCallbacks)
 {
     m_stateCallbacks = std::move(stateCallbacks);
+    m_context.confirmRouting = m_stateCallbacks.confirmRouting;
     m_slots.connect(peerAddress(),
         { [this](const std::string& pool) { return homeOf("pool/" + pool, m_peers.responsivePeers()); },
             [this](const std::string& address, const Message& message) { send(address, message); },
@@ -149,7 +151,7 @@
     m_context.routing = std::move(table);
     m_quotas.configure(*m_context.routing);
     configureSlots();
-    broadcastReport();
+    reportNow();
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
     return true;
@@ -173,13 +175,20 @@
     return true;
 }
 
-int GatewayNode::sourceRank() const
+// Strong nodes rank first: they read and pass on large state for the others.
+int GatewayNode::sourceRankAmong(const std::vector<std::string>& readers) const
 {
-    const auto sortKey = [](const std::string& address) { return std::pair(stableHash(address), address); };
-    const auto own = sortKey(peerAddress());
-    const auto readers = m_peers.peersReachingSource();
-    return static_cast<int>(std::count_if(
-        readers.begin(), readers.end(), [&](const std::string& reader) { return !m_isSourceReachable || sortKey(reader) < own; }));
+    const auto sortKey
+        = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
+    const auto own = sortKey(peerAddress(), m_options.capacity);
+    return static_cast<int>(std::count_if(readers.begin(), readers.end(),
+        [&](const std::string& reader) { return !m_isSourceReachable || sortKey(reader, m_peers.capacityOf(reader)) < own; }));
+}
+
+bool GatewayNode::isRoutingOutdated() const
+{
+    const auto version = m_context.routing ? m_context.routing->version() : 0;
+    return !m_peers.newestRoutingHolders(version, m_options.dataCentre).empty();
 }
 
 void GatewayNode::announceChanges(const std::string& changes) { broadcast(StateUpdate { changes }); }
@@ -224,10 +233,13 @@
     }
     if (m_peers.onReport(sender, *report, monotonicNow())) {
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.liveNodeCount() } });
-        send(sender, makeReport(true));
+        auto response = makeReport();
+        response.peers = m_peers.nextPeersToName(peersForNewNode, report->dataCentre);
+        send(sender, response);
     }
     m_rollouts.setPeerReports(sender, report->incarnation, report->rollouts, monotonicNow());
-    m_slots.setPeerLoads(sender, report->loads);
+    if (report->hasLoads)
+        m_slots.setPeerLoads(sender, report->loads);
 }
 
 void GatewayNode::send(const std::string& address, const Message& message) { sendBytes(address, encode(message)); }
@@ -246,14 +258,15 @@
         sendBytes(address, bytes);
 }
 
-std::string GatewayNode::homeOf(const std::string& key, std::vector<std::string> peers) const
+std::string GatewayNode::homeOf(const std::string& key, std::vector<std::string> delegates) const
 {
-    if (isReady() || peers.empty())
-        peers.push_back(peerAddress());
-    return selectByRendezvousHash(key, m_peers.filterByCapacity(std::move(peers), m_options.capacity));
+    const bool isCandidate = isReady() && m_isDelegate;
+    if (isCandidate || delegates.empty())
+        delegates.push_back(peerAddress());
+    return selectByRendezvousHash(key, m_peers.filterByCapacity(std::move(delegates), m_options.capacity));
 }
 
-NodeReport GatewayNode::makeReport(bool withPeers)
+NodeReport GatewayNode::makeReport()
 {
     NodeReport report;
     report.node = m_options.node;
@@ -267,39 +280,66 @@
     report.loads = m_slots.loads();
     report.rollouts = m_rollouts.reports(monotonicNow());
     report.capacity = m_options.capacity;
+    report.isDelegate = m_isDelegate;
+    report.liveNodes = m_peers.heardLiveNodeCount();
+    report.knownNodes = m_peers.heardNodeCount();
     report.isSourceReachable = m_isSourceReachable;
-    if (withPeers)
-        report.peers = m_peers.nextPeersToName(peersPerReport);
     return report;
 }
 
-// Tells peers the version of a new routing at once, so that they can fetch it.
-void GatewayNode::broadcastReport()
+void GatewayNode::sendReport(NodeReport report)
+{
+    const auto targets = m_peers.reportTargets();
+    const auto withLoads = encode(report);
+    for (const auto& address : targets.withLoads)
+        sendBytes(address, withLoads);
+    report.hasLoads = false;
+    report.loads.clear();
+    const auto withoutLoads = encode(report);
+    for (const auto& address : targets.withoutLoads)
+        sendBytes(address, withoutLoads);
+}
+
+// Shows peers the version of a new routing at once, so that they can fetch it.
+void GatewayNode::reportNow()
 {
     if (m_datagrams)
-        broadcast(makeReport(false));
+        sendReport(makeReport());
 }
 
 Task<void> GatewayNode::sendReports()
 {
     NodeReport last;
     int round = 0;
-    int64_t quietIntervals = 0; // Since the last report, in units of reportInterval.
+    std::size_t quietIntervals = 0; // Since the last report, in units of reportInterval.
     while (!m_isStopping) {
-        const auto intervalFactor = std::max<int64_t>(1, static_cast<int64_t>(m_peers.addresses().size() / nodesAtFullRate));
+        updateDelegate();
+        const auto intervalFactor = std::clamp(m_peers.reportTargets().size() / targetsPerIntervalUnit, std::size_t(1), maxIntervalFactor);
         const bool withPeers = round++ % reportsPerPeerList == 0;
-        auto report = makeReport(withPeers);
+        auto report = makeReport();
         quietIntervals += intervalFactor;
         const bool isDue = withPeers || hasNewInformation(report, last) || quietIntervals >= idleReportFactor;
         if (isDue) {
             quietIntervals = 0;
             last = report;
-            broadcast(report);
+            report.peers = withPeers ? m_peers.nextPeersToName(peersPerReport, m_options.dataCentre) : m_peers.newDelegates();
+            sendReport(std::move(report));
         }
         co_await sleepFor(m_context.executor, reportInterval * intervalFactor);
     }
 }
 
+void GatewayNode::updateDelegate()
+{
+    const bool wasDelegate = std::exchange(m_isDelegate, m_peers.isDelegate());
+    if (wasDelegate == m_isDelegate)
+        return;
+    m_log.write(events::delegateChanged, { { "isDelegate", m_isDelegate }, { "known", m_peers.knownNodeCount() } });
+    // Nodes of other data centres get no further report, so this one shows them that they have lost a delegate.
+    if (!m_isDelegate)
+        broadcast(makeReport());
+}
+
 Task<void> GatewayNode::runMaintenance()
 {
     auto nextSweep = monotonicNow();
@@ -307,6 +347,7 @@
         co_await sleepFor(m_context.executor, maintenanceInterval);
         const auto now = monotonicNow();
         const auto lost = m_peers.expire(now);
+        updateDelegate();
         for (const auto& address : lost)
             m_log.write(events::membersChanged, { { "lost", address }, { "members", m_peers.liveNodeCount() } });
         for (const auto& address : lost)
@@ -327,11 +368,11 @@
 {
     const auto isLeader = [this](const std::string& service) { return isRolloutLeader(service); };
     const auto isIdle = [this](const std::string& service) { return isStableVersionIdle(service); };
-    if (!m_rollouts.tick(now, isLeader, isIdle).empty())
+    if (!m_rollouts.tick(now, m_isDelegate, isLeader, isIdle).empty())
         configureSlots();
     for (const auto& [service, rule] : m_rollouts.rules()) {
         if (rule.phase == RolloutPhase::Trial)
-            m_slots.allowCandidate(service, rule.rollout, m_rollouts.headroom(service), m_peers.liveNodeCount());
+            m_slots.allowCandidate(service, rule.rollout, m_rollouts.headroom(service));
     }
 }
 
@@ -357,14 +398,21 @@
 }
 
 // The directory changes all the time, so the source is unreachable if this node's offset stays the same while peers advance.
-bool GatewayNode::findNewerPeer(std::string& address, bool& needsDirectory) const
+std::optional<GatewayNode::FetchTarget> GatewayNode::chooseFetchTarget()
 {
+    const auto now = monotonicNow();
     const auto version = m_context.routing ? m_context.routing->version() : 0;
-    needsDirectory = m_context.directory.entries().empty();
-    if (m_peers.newestRoutingPeer(version, address))
-        return true;
-    needsDirectory = true;
-    return monotonicNow() - m_directoryOffsetChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryOffset, address);
+    const auto holders = m_peers.newestRoutingHolders(version, m_options.dataCentre);
+    m_routingOutdatedSince = holders.empty() ? TimePoint::max() : std::min(m_routingOutdatedSince, now);
+    if (!holders.empty()) {
+        const auto behindFor = std::chrono::duration_cast<Duration>(now - m_routingOutdatedSince);
+        const auto address = fetchPolicy.choosePeer(holders, m_context.routing ? behindFor : fetchPolicy.sourceDelay, m_random);
+        return address ? std::optional<FetchTarget>({ *address, m_context.directory.entries().empty() }) : std::nullopt;
+    }
+    std::string address;
+    if (now - m_directoryOffsetChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryOffset, address))
+        return FetchTarget { address, true };
+    return std::nullopt;
 }
 
 void GatewayNode::setDirectoryOffset(int64_t offset)
@@ -374,35 +422,47 @@
     m_directoryOffset = offset;
 }
 
-// Fetches state from a peer that has newer state, so that a node which can't reach the source is kept up to date.
+// Fetches state from peers that have newer state, so that a few nodes read the source for all.
 Task<void> GatewayNode::fetchPeerState()
 {
     while (!m_isStopping) {
-        co_await sleepFor(m_context.executor, stateFetchInterval);
-        std::string address;
-        bool needsDirectory = false;
-        if (!findNewerPeer(address, needsDirectory))
-            continue;
-        const auto endpoint = parseEndpoint(address);
-        if (!endpoint)
+        co_await sleepFor(m_context.executor, fetchPolicy.retryInterval);
+        const auto target = chooseFetchTarget();
+        if (target)
+            co_await fetchFrom(*target);
+        const bool isOutdated = m_routingOutdatedSince != TimePoint::max() && isRoutingOutdated();
+        if (!isOutdated || !m_stateCallbacks.confirmRouting)
             continue;
-        OutgoingRequest request;
-        HttpFields fields;
-        fields.set("Host", address);
-        request.head = formatRequestHead("GET", needsDirectory ? statePath : routingStatePath, fields, 0);
-        request.body = std::make_shared<const std::string>();
-        const auto response
-            = co_await m_connectionPool.call(*endpoint, std::move(request), monotonicNow() + stateFetchTimeout, maxStateBytes);
-        if (!response || response->head.status != httpstatus::ok) {
-            m_log.write(events::dependencyLost,
-                { { "dependency", "peer " + address },
-                    { "reason", response ? "status " + std::to_string(response->head.status) : response.error().message } });
-            continue;
-        }
-        m_metrics.countIncident("state-fetched");
-        m_log.write(events::stateFetched, { { "from", address }, { "bytes", response->body.size() } });
-        m_stateCallbacks.applyState(response->body);
+        if (fetchPolicy.shouldReadSource(std::chrono::duration_cast<Duration>(monotonicNow() - m_routingOutdatedSince)))
+            co_await m_stateCallbacks.confirmRouting();
+    }
+}
+
+Task<void> GatewayNode::fetchFrom(const FetchTarget& target)
+{
+    const auto endpoint = parseEndpoint(target.address);
+    if (!endpoint)
+        co_return;
+    OutgoingRequest request;
+    HttpFields fields;
+    fields.set("Host", target.address);
+    request.head = formatRequestHead("GET", target.needsDirectory ? statePath : routingStatePath, fields, 0);
+    request.body = std::make_shared<const std::string>();
+    const auto response
+        = co_await m_connectionPool.call(*endpoint, std::move(request), monotonicNow() + fetchPolicy.timeout, maxStateBytes);
+    if (response && response->head.status == httpstatus::serviceUnavailable) {
+        m_metrics.countIncident("state-fetch-refused"); // The peer serves enough copies; another one is asked next.
+        co_return;
+    }
+    if (!response || response->head.status != httpstatus::ok) {
+        m_log.write(events::dependencyLost,
+            { { "dependency", "peer " + target.address },
+                { "reason", response ? "status " + std::to_string(response->head.status) : response.error().message } });
+        co_return;
     }
+    m_metrics.countIncident("state-fetched");
+    m_log.write(events::stateFetched, { { "from", target.address }, { "bytes", response->body.size() } });
+    m_stateCallbacks.applyState(response->body);
 }
 
 Task<void> GatewayNode::drain()
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -1,22 +1,25 @@
 #include <algorithm>
+#include <base/Hash.h>
 #include <gateway/PeerView.h>
+#include <tuple>
 
 namespace bronzeswitch {
 
-PeerView::PeerView(PeerTimeouts timeouts)
+PeerView::PeerView(PeerTimeouts timeouts, DelegatePolicy delegatePolicy)
     : m_timeouts(timeouts)
+    , m_delegatePolicy(delegatePolicy)
 {
 }
 
-void PeerView::setOwnAddress(const std::string& address)
+void PeerView::setOwnNode(OwnNode own)
 {
-    m_ownAddress = address;
-    m_peers.erase(address);
+    m_own = std::move(own);
+    m_peers.erase(m_own.address);
 }
 
 void PeerView::addAddress(const std::string& address, bool isSeed, TimePoint now)
 {
-    if (address == m_ownAddress || address.empty())
+    if (address == m_own.address || address.empty())
         return;
     auto [entry, isNew] = m_peers.try_emplace(address);
     if (isNew)
@@ -26,7 +29,7 @@
 
 bool PeerView::onReport(const std::string& address, const NodeReport& report, TimePoint now)
 {
-    if (address == m_ownAddress)
+    if (address == m_own.address)
         return false;
     addAddress(address, false, now);
     auto& peer = m_peers.at(address);
@@ -36,12 +39,16 @@
     if (isOutdated)
         return false;
     const bool isNewlyLive = !peer.isLive;
+    if (report.isDelegate && (isNewlyLive || !peer.report.isDelegate))
+        peer.delegateSince = now;
     peer.report = report;
     peer.hasReported = true;
     peer.isLive = true;
     peer.lastReport = now;
-    for (const auto& other : report.peers)
-        addAddress(other, false, now);
+    for (const auto& other : report.peers) {
+        if (isRelevant(other))
+            addAddress(other.address, false, now);
+    }
     return isNewlyLive;
 }
 
@@ -84,24 +91,69 @@
     return result;
 }
 
-std::vector<std::string> PeerView::nextPeersToName(std::size_t count)
+bool PeerView::isDelegate() const
+{
+    const auto sortKey
+        = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
+    const auto own = sortKey(m_own.address, m_own.capacity);
+    const auto rank = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const auto& [address, peer] = entry;
+        const bool isCandidate = peer.isLive && peer.report.isReady && !peer.report.isDraining && isInOwnDataCentre(peer);
+        return isCandidate && sortKey(address, peer.report.capacity) < own;
+    });
+    return m_delegatePolicy.isDelegate(knownNodeCount(), static_cast<int>(rank));
+}
+
+ReportTargets PeerView::reportTargets() const
+{
+    ReportTargets targets;
+    const bool isOwnDelegate = isDelegate();
+    for (const auto& [address, peer] : m_peers) {
+        if (!peer.hasReported || peer.report.isDelegate)
+            targets.withLoads.push_back(address);
+        else if (isOwnDelegate || isInOwnDataCentre(peer))
+            targets.withoutLoads.push_back(address);
+    }
+    return targets;
+}
+
+std::vector<NamedPeer> PeerView::nextPeersToName(std::size_t count, const std::string& dataCentre)
 {
-    auto named = livePeers();
+    std::vector<NamedPeer> named;
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.isLive && (peer.report.isDelegate || peer.report.dataCentre == dataCentre))
+            named.push_back({ address, peer.report.dataCentre, peer.report.isDelegate });
+    }
     if (named.size() <= count)
         return named;
     // Each node begins at its own address, so that all nodes together name all peers from the start.
-    const auto& last = m_lastNamed.empty() ? m_ownAddress : m_lastNamed;
-    std::rotate(named.begin(), std::upper_bound(named.begin(), named.end(), last), named.end());
+    const auto& last = m_lastNamed.empty() ? m_own.address : m_lastNamed;
+    const auto next = std::upper_bound(
+        named.begin(), named.end(), last, [](const std::string& address, const NamedPeer& peer) { return address < peer.address; });
+    std::rotate(named.begin(), next, named.end());
     named.resize(count);
-    m_lastNamed = named.back();
+    m_lastNamed = named.back().address;
     return named;
 }
 
+std::vector<NamedPeer> PeerView::newDelegates() const
+{
+    std::vector<NamedPeer> result;
+    if (knownNodeCount() <= m_delegatePolicy.smallFleet)
+        return result;
+    for (const auto& [address, peer] : m_peers) {
+        const bool isNew = peer.delegateSince != TimePoint {} && m_now - peer.delegateSince <= m_timeouts.newDelegateTime;
+        if (isNew && peer.isLive && peer.report.isDelegate)
+            result.push_back({ address, peer.report.dataCentre, true });
+    }
+    return result;
+}
+
 std::vector<std::string> PeerView::readyPeers() const
 {
     std::vector<std::string> result;
     for (const auto& [address, peer] : m_peers) {
-        if (peer.isLive && peer.report.isReady && !peer.report.isDraining)
+        if (peer.isLive && peer.report.isDelegate && peer.report.isReady && !peer.report.isDraining)
             result.push_back(address);
     }
     return result;
@@ -127,16 +179,23 @@
     return addresses;
 }
 
-std::vector<std::string> PeerView::peersReachingSource() const
+std::vector<std::string> PeerView::peersReachingSource(const std::string& dataCentre) const
 {
     std::vector<std::string> result;
     for (const auto& [address, peer] : m_peers) {
-        if (peer.isLive && peer.report.isSourceReachable)
+        const bool isWanted = dataCentre.empty() || peer.report.dataCentre == dataCentre;
+        if (isWanted && peer.isLive && peer.report.isSourceReachable)
             result.push_back(address);
     }
     return result;
 }
 
+int PeerView::capacityOf(const std::string& address) const
+{
+    const auto peer = m_peers.find(address);
+    return peer == m_peers.end() || !peer->second.isLive ? 0 : peer->second.report.capacity;
+}
+
 void PeerView::suspect(const std::string& address, TimePoint now)
 {
     if (const auto found = m_peers.find(address); found != m_peers.end())
@@ -148,21 +207,44 @@
     return peer.suspected != TimePoint {} && (peer.lastReport < peer.suspected || m_now < peer.suspected + m_timeouts.minSuspicionTime);
 }
 
-int PeerView::knownNodeCount() const
+int PeerView::liveNodeCount() const
+{
+    int count = heardLiveNodeCount();
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.isLive)
+            count = std::max(count, peer.report.liveNodes);
+    }
+    return count;
+}
+
+int PeerView::heardNodeCount() const
 {
     return 1 + static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.hasReported; }));
 }
 
-const NodeReport* PeerView::newestRoutingPeer(int64_t newerThan, std::string& address) const
+int PeerView::knownNodeCount() const
 {
-    const NodeReport* best = nullptr;
-    for (const auto& [key, peer] : m_peers) {
-        if (!peer.isLive || peer.report.routingVersion <= newerThan || (best && peer.report.routingVersion <= best->routingVersion))
+    int count = heardNodeCount();
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.isLive)
+            count = std::max(count, peer.report.knownNodes);
+    }
+    return count;
+}
+
+std::vector<StateHolder> PeerView::newestRoutingHolders(int64_t newerThan, const std::string& dataCentre) const
+{
+    int64_t newest = newerThan;
+    std::vector<StateHolder> holders;
+    for (const auto& [address, peer] : m_peers) {
+        if (!peer.isLive || peer.report.routingVersion <= newerThan || peer.report.routingVersion < newest)
             continue;
-        best = &peer.report;
-        address = key;
+        if (peer.report.routingVersion > newest)
+            holders.clear();
+        newest = peer.report.routingVersion;
+        holders.push_back({ address, peer.report.dataCentre == dataCentre });
     }
-    return best;
+    return holders;
 }
 
 const NodeReport* PeerView::newestDirectoryPeer(int64_t newerThan, std::string& address) const
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t maxUnreachableUpstreams = 4; // Per request.
 constexpr int maxStaleResponses = 2; // Responses to earlier requests that are skipped on a connection.
 constexpr Duration minRetryAfter { 100 };
+constexpr Duration routingRetryAfter { 500 };
 constexpr uint64_t retrySpreadMs = 400; // Keeps the callers that an upstream rejected at one moment from returning together.
 constexpr int plainStartTimeoutFactor = 2; // Of the target latency; a plain request that waits longer for a slot is refused.
 
@@ -62,6 +63,7 @@
 
 Task<bool> RequestTask::run()
 {
+    co_await confirmRejection();
     auto problem = m_resolved.problem;
     if (!problem)
         setDeadlines();
@@ -88,6 +90,19 @@
     co_return canReuseConnection && !m_hasCallerDisconnected;
 }
 
+// A caller takes the rejection of an unknown route or key as final, so it needs the newest routing.
+Task<void> RequestTask::confirmRejection()
+{
+    if (!m_resolved.dependsOnNewestRouting() || !m_context.confirmRouting)
+        co_return;
+    const bool isConfirmed = co_await m_context.confirmRouting();
+    m_resolved = resolveRequest(m_context, m_request);
+    if (isConfirmed || !m_resolved.dependsOnNewestRouting())
+        co_return;
+    m_resolved.problem = notRunProblem(
+        httpstatus::serviceUnavailable, "routing-unconfirmed", "this node can't confirm that its routing is the newest", routingRetryAfter);
+}
+
 void RequestTask::onCallerDisconnect()
 {
     m_hasCallerDisconnected = true;
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -51,6 +51,9 @@
 
     void setDeadlines();
 
+    /** Replaces a rejection that an older routing may have caused by one that the newest routing confirms, or by a refusal. */
+    Task<void> confirmRejection();
+
     /** Takes the request's tokens of its organisation's quota. @return the refusal if there are too few. */
     Task<std::optional<Problem>> acquireQuota();
 
--- a/libs/gateway/src/ResolvedRequest.cpp
+++ b/libs/gateway/src/ResolvedRequest.cpp
@@ -45,6 +45,11 @@
 
 } // namespace
 
+bool ResolvedRequest::dependsOnNewestRouting() const
+{
+    return problem && (problem->status == httpstatus::notFound || problem->status == httpstatus::unauthorized);
+}
+
 int ResolvedRequest::rank() const
 {
     const int routeRank = std::clamp(route->rank, 0, routeRankCount - 1);
--- a/libs/gateway/src/ResolvedRequest.h
+++ b/libs/gateway/src/ResolvedRequest.h
@@ -16,6 +16,9 @@
     const GatewayOrganisation* organisation = nullptr; /**< Null where the route needs no API key. */
     std::optional<Problem> problem; /**< The response to a request that can't be served. */
 
+    /** @return true if the request was rejected because its route or key is unknown, which a newer routing may know. */
+    bool dependsOnNewestRouting() const;
+
     /** @return the priority of the request: by its organisation's rank, then by its route's. 0 is the highest. */
     int rank() const;
 };
--- a/libs/gateway/src/RolloutController.cpp
+++ b/libs/gateway/src/RolloutController.cpp
@@ -149,12 +149,13 @@
 }
 
 std::vector<std::string> RolloutController::tick(
-    TimePoint now, const ServicePredicate& isLeader, const ServicePredicate& isStableVersionIdle)
+    TimePoint now, bool mayJudge, const ServicePredicate& isLeader, const ServicePredicate& isStableVersionIdle)
 {
     std::vector<std::string> changed;
     for (auto& [service, state] : m_states) {
         const auto before = state.rollout.phase();
-        state.rollout.observe(totals(state));
+        if (mayJudge)
+            state.rollout.observe(totals(state));
         const bool mayLead = state.isRecordRead && isLeader(service);
         state.rollout.advance(elapsed(state, now), mayLead);
         state.isStableVersionIdle = state.rollout.phase() == RolloutPhase::Moving && isStableVersionIdle(service);
--- a/libs/gateway/src/SlotAllocator.cpp
+++ b/libs/gateway/src/SlotAllocator.cpp
@@ -39,6 +39,12 @@
     return isTarget ? stableVersion : retiredVersion;
 }
 
+// During a trial, one node counts the requests of a plain service too, so that the candidate version's exposure is bounded exactly.
+bool hasHome(const GatewayService& service, const VersionRule* rule)
+{
+    return service.isEngine() || (rule && rule->phase == RolloutPhase::Trial);
+}
+
 Upstream makeUpstream(const UpstreamEntry& entry, const GatewayService& service, const char* role)
 {
     Upstream upstream;
@@ -66,7 +72,7 @@
     plan.lowerRankShare = lowerRankShare;
     plan.loadReportLifetime = loadReportLifetime;
     // Peers' reports are older than the requests to a plain service last; its upstreams' own queues are short.
-    plan.countsPeerReports = service.isEngine();
+    plan.countsPeerReports = hasHome(service, rule);
     const auto& entries = directory.entries();
     const bool hasTarget = rule && std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
         return item.second.service == service.name && item.second.version == rule->target && !item.second.isDraining;
@@ -107,10 +113,10 @@
     std::set<std::string> names;
     for (const auto& service : table.document().services) {
         names.insert(service.name);
-        m_hasHome[service.name] = service.isEngine();
         auto& pool = m_pools.try_emplace(service.name, now).first->second;
         const auto rule = rules.find(service.name);
         const auto* known = rule == rules.end() ? nullptr : &rule->second;
+        m_hasHome[service.name] = hasHome(service, known);
         deliver(pool.configure(makePoolPlan(table, directory, service, m_dataCentre, known), now));
     }
     for (auto pool = m_pools.begin(); pool != m_pools.end();) {
@@ -124,15 +130,13 @@
     }
 }
 
-// Without a home node, each node gets an equal part. Rounding is randomized, so that small numbers are not always rounded to 0.
-void SlotAllocator::allowCandidate(const std::string& service, const std::string& rollout, int64_t slots, int nodes)
+void SlotAllocator::allowCandidate(const std::string& service, const std::string& rollout, int64_t slots)
 {
     auto* pool = findPool(service);
     if (!pool)
         return;
-    const int64_t deciders = m_hasHome[service] ? 1 : std::max(1, nodes);
-    const auto rounding = std::uniform_int_distribution<int64_t>(0, deciders - 1)(m_random);
-    pool->allowCandidate(rollout, (slots + rounding) / deciders);
+    const bool isHome = !m_callbacks.homeOf || m_callbacks.homeOf(service) == m_node;
+    pool->allowCandidate(rollout, isHome ? slots : 0);
 }
 
 bool SlotAllocator::isIdle(const std::string& service, const std::string& upstream) const
--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -107,14 +107,13 @@
 TEST_CASE("a newer report replaces the last one, and older reports are ignored")
 {
     PeerView view({});
-    view.setOwnAddress("127.0.0.1:1");
+    view.setOwnNode({ "127.0.0.1:1", "honda", 0 });
     CHECK(view.onReport("127.0.0.1:2", makeReport(5), start));
     CHECK_FALSE(view.onReport("127.0.0.1:2", makeReport(6), start));
     auto olderReport = makeReport(4);
     olderReport.routingVersion = 9;
     view.onReport("127.0.0.1:2", olderReport, start);
-    std::string address;
-    CHECK_FALSE(view.newestRoutingPeer(0, address));
+    CHECK(view.newestRoutingHolders(0, "honda").empty());
     CHECK_FALSE(view.onReport("127.0.0.1:1", makeReport(1), start));
     view.expire(start);
     CHECK(view.responsivePeers() == std::vector<std::string> { "127.0.0.1:2" });
@@ -164,8 +163,9 @@
     const SourceReadPolicy policy;
     int routingReaders = 0;
     for (int rank = 0; rank < 91; ++rank) {
-        routingReaders += policy.shouldWatchRouting(rank, Duration(0));
-        CHECK(policy.shouldWatchRouting(rank, policy.maxSilence(rank)));
+        routingReaders += policy.shouldWatchRouting(rank, 1, Duration(0));
+        CHECK(policy.shouldWatchRouting(rank, 1, policy.maxSilence(rank)));
+        CHECK(policy.shouldWatchRouting(rank, 0, Duration(0)));
     }
     CHECK(routingReaders == policy.routingWatchers);
 }
--- a/libs/gateway/tests/RolloutControllerTests.cpp
+++ b/libs/gateway/tests/RolloutControllerTests.cpp
@@ -48,7 +48,7 @@
         node.controller.applyRecord("reader", order.id, phase);
         CHECK(node.phase() == phase);
         CHECK(node.controller.unfinishedOrders().empty());
-        node.controller.tick(start, always, always);
+        node.controller.tick(start, true, always, always);
         CHECK(node.controller.dueRecords(start, always).empty());
     }
 }
@@ -61,12 +61,12 @@
         node.controller.applyRecord("reader", order.id, RolloutPhase::Trial);
         node.addResponses("v1", 20, false);
         node.addResponses("v2", 2, true);
-        node.controller.tick(start, never, never);
+        node.controller.tick(start, true, never, never);
         CHECK(node.phase() == RolloutPhase::Trial);
     }
     nodes[0].controller.setPeerReports("n2", 1, nodes[1].controller.reports(start), start);
     nodes[0].controller.setPeerReports("n3", 1, nodes[2].controller.reports(start), start);
-    CHECK_FALSE(nodes[0].controller.tick(start, never, never).empty());
+    CHECK_FALSE(nodes[0].controller.tick(start, true, never, never).empty());
     CHECK(nodes[0].phase() == RolloutPhase::TakenBack);
     nodes[2].controller.setPeerReports("n1", 1, nodes[0].controller.reports(start), start);
     CHECK(nodes[2].phase() == RolloutPhase::TakenBack);
@@ -88,7 +88,7 @@
     restarted.controller.addOrder(order, start);
     restarted.addResponses("v2", 2, true);
     node.controller.setPeerReports("n2", 2, restarted.controller.reports(start), start);
-    node.controller.tick(start, never, never);
+    node.controller.tick(start, true, never, never);
     CHECK(node.phase() == RolloutPhase::TakenBack);
 }
 
@@ -107,10 +107,10 @@
 {
     Node node;
     node.controller.addOrder(order, start);
-    node.controller.tick(start, never, never);
+    node.controller.tick(start, true, never, never);
     CHECK(node.controller.dueRecords(start, always).empty()); // The record has not been read yet.
     node.controller.applyRecord("reader", order.id, std::nullopt);
-    node.controller.tick(start, never, never);
+    node.controller.tick(start, true, never, never);
     CHECK(node.controller.dueRecords(start, never).empty());
     REQUIRE(node.controller.dueRecords(start, always).size() == 1);
     CHECK(node.controller.dueRecords(start, always).front().phase == RolloutPhase::Trial);
--- /dev/null
+++ b/libs/gateway/tests/StateFetchTests.cpp
@@ -0,0 +1,186 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <gateway/PeerView.h>
+#include <gateway/SourceReadPolicy.h>
+#include <gateway/StateFetchPolicy.h>
+
+using namespace bronzeswitch;
+
+namespace {
+
+const TimePoint start = TimePoint() + std::chrono::hours(1);
+
+constexpr Duration step { 10 };
+constexpr double weakLinkBytesPerMs = 2500; // 20 Mbit/s.
+constexpr double strongLinkBytesPerMs = 25000;
+constexpr int strongNodesPerDataCentre = 3;
+
+// Plays how a routing spreads over the nodes from those that watch its source, with a driven clock. Transfers share the sender's link.
+class RoutingSpread {
+public:
+    RoutingSpread(int nodes, int dataCentres, double bytes, StateFetchPolicy policy)
+        : m_dataCentres(dataCentres)
+        , m_bytes(bytes)
+        , m_policy(policy)
+        , m_nodes(static_cast<std::size_t>(nodes))
+    {
+        const SourceReadPolicy readPolicy;
+        for (int index = 0; index < nodes; ++index) {
+            const bool isWatcher = readPolicy.shouldWatchRouting(index, index / dataCentres, Duration(0));
+            m_nodes[static_cast<std::size_t>(index)].hasRouting = isWatcher;
+        }
+    }
+
+    // Returns the time until all nodes have the routing, or the limit.
+    Duration timeUntilInForce(Duration limit)
+    {
+        Duration now { 0 };
+        while (now < limit && !isInForce()) {
+            transfer(now);
+            startTransfers(now);
+            now += step;
+        }
+        return now;
+    }
+
+private:
+    struct Node {
+        bool hasRouting = false;
+        std::size_t source = 0;
+        bool isFetching = false;
+        double missingBytes = 0;
+        Duration fetchStart { 0 };
+        Duration nextAttempt { 0 };
+        int sending = 0;
+    };
+
+    bool isInForce() const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [](const Node& node) { return node.hasRouting; });
+    }
+
+    double linkOf(std::size_t index) const
+    {
+        const bool isStrong = index < static_cast<std::size_t>(strongNodesPerDataCentre * m_dataCentres);
+        return isStrong ? strongLinkBytesPerMs : weakLinkBytesPerMs;
+    }
+
+    void transfer(Duration now)
+    {
+        for (auto& node : m_nodes) {
+            if (!node.isFetching)
+                continue;
+            auto& source = m_nodes[node.source];
+            node.missingBytes -= static_cast<double>(step.count()) * linkOf(node.source) / std::max(1, source.sending);
+            const bool isTimedOut = now - node.fetchStart >= m_policy.timeout;
+            if (node.missingBytes > 0 && !isTimedOut)
+                continue;
+            node.hasRouting = node.missingBytes <= 0;
+            node.isFetching = false;
+            node.nextAttempt = now + m_policy.retryInterval;
+            --source.sending;
+        }
+    }
+
+    void startTransfers(Duration now)
+    {
+        std::vector<std::size_t> holders;
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            if (m_nodes[index].hasRouting)
+                holders.push_back(index);
+        }
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            auto& node = m_nodes[index];
+            if (!node.hasRouting && !node.isFetching && now >= node.nextAttempt)
+                attempt(index, holders, now);
+        }
+    }
+
+    void attempt(std::size_t index, const std::vector<std::size_t>& holders, Duration now)
+    {
+        auto& node = m_nodes[index];
+        std::vector<StateHolder> candidates;
+        for (const auto holder : holders) {
+            const bool isNear = static_cast<int>(holder) % m_dataCentres == static_cast<int>(index) % m_dataCentres;
+            candidates.push_back({ std::to_string(holder), isNear });
+        }
+        node.nextAttempt = now + m_policy.retryInterval;
+        const auto chosen = m_policy.choosePeer(candidates, now, m_random);
+        if (!chosen)
+            return;
+        const auto source = static_cast<std::size_t>(std::stoi(*chosen));
+        if (m_nodes[source].sending >= m_policy.responseLimit.maxConcurrent)
+            return;
+        ++m_nodes[source].sending;
+        node.source = source;
+        node.isFetching = true;
+        node.missingBytes = m_bytes;
+        node.fetchStart = now;
+    }
+
+    int m_dataCentres;
+    double m_bytes;
+    StateFetchPolicy m_policy;
+    std::vector<Node> m_nodes;
+    std::minstd_rand m_random { 1 };
+};
+
+NodeReport reportWith(int64_t routingVersion, const std::string& dataCentre)
+{
+    NodeReport report;
+    report.sequence = 1;
+    report.routingVersion = routingVersion;
+    report.dataCentre = dataCentre;
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("a routing of 1,000 routes reaches all nodes in half of the time in which it must be in force")
+{
+    constexpr Duration half { 2000 };
+    constexpr double bytes = 400000;
+    CHECK(RoutingSpread(69, 3, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
+    CHECK(RoutingSpread(195, 5, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
+    CHECK(RoutingSpread(430, 14, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
+}
+
+TEST_CASE("without a limit on concurrent copies, fetches of a large routing share slow links until they time out")
+{
+    constexpr Duration bound { 4000 };
+    constexpr double bytes = 1000000;
+    StateFetchPolicy unlimited;
+    unlimited.responseLimit.maxConcurrent = 1000;
+    const auto limitedTime = RoutingSpread(195, 5, bytes, {}).timeUntilInForce(Duration(20000));
+    const auto unlimitedTime = RoutingSpread(195, 5, bytes, unlimited).timeUntilInForce(Duration(20000));
+    CHECK(limitedTime <= bound);
+    CHECK(unlimitedTime > limitedTime);
+}
+
+TEST_CASE("a node asks its own data centre first, then the others, and at last reads the source")
+{
+    const StateFetchPolicy policy;
+    std::minstd_rand random(1);
+    const std::vector<StateHolder> remote { { "127.0.0.1:2", false } };
+    const std::vector<StateHolder> both { { "127.0.0.1:2", false }, { "127.0.0.1:3", true } };
+    CHECK_FALSE(policy.choosePeer({}, Duration(9000), random));
+    CHECK_FALSE(policy.choosePeer(remote, Duration(0), random));
+    CHECK(policy.choosePeer(remote, policy.ownDataCentreOnly, random) == "127.0.0.1:2");
+    CHECK(policy.choosePeer(both, policy.ownDataCentreOnly, random) == "127.0.0.1:3");
+    CHECK_FALSE(policy.shouldReadSource(policy.ownDataCentreOnly));
+    CHECK(policy.shouldReadSource(policy.sourceDelay));
+}
+
+TEST_CASE("only the live peers with the newest routing are asked for it")
+{
+    PeerView view({});
+    view.setOwnNode({ "127.0.0.1:1", "honda", 0 });
+    view.onReport("127.0.0.1:2", reportWith(5, "honda"), start);
+    view.onReport("127.0.0.1:3", reportWith(7, "mompox"), start + Duration(2000));
+    view.onReport("127.0.0.1:4", reportWith(7, "honda"), start + Duration(2000));
+    const std::vector<StateHolder> expected { { "127.0.0.1:3", false }, { "127.0.0.1:4", true } };
+    CHECK(view.newestRoutingHolders(4, "honda") == expected);
+    CHECK(view.newestRoutingHolders(7, "honda").empty());
+    view.expire(start + Duration(3600));
+    CHECK(view.newestRoutingHolders(4, "honda").empty());
+}
--- a/libs/net/include/net/SimpleHttpServer.h
+++ b/libs/net/include/net/SimpleHttpServer.h
@@ -4,10 +4,19 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace bronzeswitch {
 
+/** Limits how many large responses a server sends at the same time. */
+struct ResponseLimit {
+    std::size_t largeBytes = 0; /**< Bodies above this size are large. */
+    int maxConcurrent = 0; /**< Further requests for large bodies get 503 meanwhile. */
+
+    bool operator==(const ResponseLimit&) const = default;
+};
+
 /** HTTP server on its own port whose synchronous handler responds to short requests of operators, load balancers and peers. */
 class SimpleHttpServer {
 public:
@@ -19,15 +28,21 @@
     /** Starts to accept connections. @param onFailure called with the reason of each accept error or failed connection task. */
     void start(std::function<void(const std::string&)> onFailure);
 
+    /** Limits large responses, so that many requests at once don't share a slow link until all of them time out. */
+    void limitLargeResponses(const ResponseLimit& limit) { m_largeResponseLimit = limit; }
+
     asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
 
 private:
     SimpleHttpServer(TcpAcceptor, Handler);
     Task<void> handleConnection(std::shared_ptr<CallerConnection>);
+    Task<bool> sendResponse(CallerConnection&, FullHttpResponse, bool isClosing);
 
     TcpAcceptor m_acceptor;
     Handler m_handler;
     std::function<void(const std::string&)> m_onFailure;
+    std::optional<ResponseLimit> m_largeResponseLimit;
+    int m_largeResponses = 0; /**< Being sent. */
 };
 
 } // namespace bronzeswitch
--- a/libs/net/src/SimpleHttpServer.cpp
+++ b/libs/net/src/SimpleHttpServer.cpp
@@ -1,3 +1,4 @@
+#include <base/HttpStatus.h>
 #include <net/SimpleHttpServer.h>
 
 namespace bronzeswitch {
@@ -39,15 +40,28 @@
         const auto request = co_await connection->read(limits);
         if (!request)
             co_return;
-        const auto response = m_handler(*request);
-        ResponseFraming framing;
-        framing.length = response.body.size();
-        framing.isClosing = !request->keep_alive();
-        const bool isWritten
-            = co_await connection->write(formatResponseHead(response.head, framing) + response.body, monotonicNow() + writeTimeout);
-        if (!isWritten || framing.isClosing)
+        const bool isClosing = !request->keep_alive();
+        const bool isWritten = co_await sendResponse(*connection, m_handler(*request), isClosing);
+        if (!isWritten || isClosing)
             co_return;
     }
 }
 
+Task<bool> SimpleHttpServer::sendResponse(CallerConnection& connection, FullHttpResponse response, bool isClosing)
+{
+    const bool isLarge = m_largeResponseLimit && response.body.size() > m_largeResponseLimit->largeBytes;
+    const bool isRefused = isLarge && m_largeResponses >= m_largeResponseLimit->maxConcurrent;
+    if (isRefused)
+        response = { { httpstatus::serviceUnavailable, "", {} }, "" };
+    const int counted = isLarge && !isRefused ? 1 : 0;
+    ResponseFraming framing;
+    framing.length = response.body.size();
+    framing.isClosing = isClosing;
+    m_largeResponses += counted;
+    const bool isWritten
+        = co_await connection.write(formatResponseHead(response.head, framing) + response.body, monotonicNow() + writeTimeout);
+    m_largeResponses -= counted;
+    co_return isWritten;
+}
+
 } // namespace bronzeswitch
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -252,6 +252,15 @@
     bool operator==(const RolloutReport&) const = default;
 };
 
+/** A peer that a report names, so that nodes come to know each other. */
+struct NamedPeer {
+    std::string address;
+    std::string dataCentre;
+    bool isDelegate = true;
+
+    bool operator==(const NamedPeer&) const = default;
+};
+
 /** A node's current state. Sent to its peers periodically, so that a lost report does no harm. */
 struct NodeReport {
     std::string node;
@@ -262,10 +271,14 @@
     bool isDraining = false;
     int64_t routingVersion = 0;
     int64_t directoryOffset = 0; /**< Offset up to which the node has read the changes of the upstream directory. */
+    bool hasLoads = true; /**< False if the loads are left out because the receiver doesn't need them. */
     std::vector<UpstreamLoad> loads;
-    std::vector<std::string> peers; /**< Addresses of some of the peers that are live to the sender. */
+    std::vector<NamedPeer> peers; /**< Some of the peers that are live to the sender. */
     std::vector<RolloutReport> rollouts;
     int capacity = 0; /**< CPU time that the sender may use, in thousandths of a core; 0 if unknown. */
+    bool isDelegate = true; /**< Whether the sender exchanges reports with the nodes of all data centres. */
+    int liveNodes = 0; /**< Nodes that are live to the sender, including itself. */
+    int knownNodes = 0; /**< Nodes that the sender has heard of itself recently, including itself. */
     bool isSourceReachable = true; /**< False if the sender has recently failed to reach the source of routing and directory. */
 
     bool operator==(const NodeReport&) const = default;
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -55,8 +55,10 @@
         return std::tie(message.groups);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.loads, message.peers, message.rollouts, message.capacity,
-            message.isSourceReachable);
+            message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.peers, message.rollouts,
+            message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable);
+    else if constexpr (std::is_same_v<Type, NamedPeer>)
+        return std::tie(message.address, message.dataCentre, message.isDelegate);
     else if constexpr (std::is_same_v<Type, VersionTally>)
         return std::tie(message.sent, message.withoutFailure, message.failed, message.firstByte, message.betweenTokens);
     else if constexpr (std::is_same_v<Type, RouteTally>)
@@ -79,7 +81,7 @@
 }
 
 template <typename Field>
-concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
+concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field, NamedPeer> || std::is_same_v<Field,
     VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field, RolloutReport>;
 
 template <typename Field> struct IsList : std::false_type {
