--- a/libs/gateway/include/gateway/QuotaEnforcer.h
+++ b/libs/gateway/include/gateway/QuotaEnforcer.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <gateway/DecisionLog.h>
-#include <gateway/QuotaShares.h>
+#include <gateway/QuotaQueue.h>
 #include <net/Async.h>
 #include <protocol/Messages.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -17,20 +18,29 @@
 struct QuotaWaitLimits {
     Duration firstTimeout { 50 }; /**< For the response to the first send; doubles with each resend. */
     int maxSends = 3; /**< Of one request. */
-    Duration maxShortWait { 150 }; /**< A refused request that would fit within this time waits and is retried instead of being rejected. */
-    int maxShortWaits = 2; /**< Such retries of one request. */
     Duration convergenceTimeout { 1000 }; /**< For the nodes to agree on a home node and lend it their shares. */
     Duration convergenceRetryDelay { 100 }; /**< Between retries while they have not. */
+    Duration lastTryGrace { 400 }; /**< For the last request of one that has waited in the home node's queue. */
 
     bool operator==(const QuotaWaitLimits&) const = default;
 };
 
+/** How long a request may wait for tokens. */
+struct QuotaPatience {
+    Duration usual { 0 }; /**< Short, so that no standing queue forms when an organisation sends more than its quota. */
+    Duration afterTakeover { 0 }; /**< While a home node is new: its buckets began empty, so the organisation may well be below its quota. */
+
+    Duration longest() const { return std::max(usual, afterTakeover); }
+    bool operator==(const QuotaPatience&) const = default;
+};
+
 /** The decision on one request's tokens, and which node made it. */
 struct QuotaResult {
     QuotaDecision decision;
     std::string home; /**< Address of the node that decided, or did not respond. */
     /** The home node held too small a share of the quota or did not respond: the nodes have not agreed on a home node yet. */
     bool isInconclusive = false;
+    bool isQueued = false; /**< The request should be repeated after the decision's wait. */
 
     bool operator==(const QuotaResult&) const = default;
 };
@@ -42,7 +52,7 @@
  * QuotaShares makes the decisions; this class exchanges the messages. A request that gets no response is resent, and the caller's
  * request waits meanwhile, since there is no ground for refusing it.
  *
- *     const auto result = co_await enforcer.acquire("crews", 700, deadline);
+ *     const auto result = co_await enforcer.acquire("crews", 700, patience, deadline);
  */
 class QuotaEnforcer {
 public:
@@ -67,7 +77,7 @@
     void configure(const RoutingTable&);
 
     /** Requests tokens and waits for the decision. @param deadline of the caller's request. */
-    Task<QuotaResult> acquire(std::string organisation, int tokens, TimePoint deadline);
+    Task<QuotaResult> acquire(std::string organisation, int tokens, QuotaPatience, TimePoint deadline);
 
     /** Processes a peer's message about quotas. @return false if the message is about something else. */
     bool onMessage(const std::string& from, const Message&);
@@ -94,8 +104,9 @@
         QuotaResponse response;
     };
 
-    Task<QuotaResult> requestTokens(std::string organisation, int tokens, TimePoint deadline);
-    QuotaResult decideLocally(const std::string& organisation, int tokens);
+    Task<QuotaResult> requestTokens(QuotaRequest, TimePoint deadline);
+    QuotaQueueDecision decide(const std::string& node, const QuotaRequest&, TimePoint now);
+    bool isNewHome(int group, TimePoint now) const;
     bool isSufficient(double share) const;
     void onRequest(const std::string& from, const QuotaRequest&);
     void onResponse(const QuotaResponse&);
@@ -110,11 +121,13 @@
     Executor m_executor;
     DecisionLog& m_log;
     QuotaWaitLimits m_waitLimits;
+    Duration m_window; /**< Over which quotas are enforced. */
     QuotaShares m_shares;
     std::string m_node;
     Callbacks m_callbacks;
     std::set<int> m_limitedGroups; /**< Groups with an organisation that has a limit. */
-    std::set<int> m_homeGroups; /**< Groups whose home node this is. */
+    std::map<int, TimePoint> m_homeSince; /**< Groups whose home node this is, and since when. */
+    QuotaQueue m_queue;
     std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending;
     std::deque<RecentGrant> m_recentGrants; /**< Makes a resent request get the same response instead of taking tokens again. */
     uint64_t m_lastRequestId = 0;
--- /dev/null
+++ b/libs/gateway/include/gateway/QuotaQueue.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <gateway/QuotaShares.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace bronzeswitch {
+
+/** Identifies a request for tokens over its repetitions. */
+struct QuotaTicket {
+    std::string node;
+    uint64_t id = 0; /**< Unique among the requests of the node. */
+
+    bool operator==(const QuotaTicket&) const = default;
+};
+
+/** The decision on a request for tokens and whether it keeps its place in the queue. */
+struct QuotaQueueDecision {
+    QuotaDecision decision; /**< Its wait includes the requests ahead. */
+    bool isQueued = false; /**< The request should be repeated after the wait; its tokens are kept free for it until then. */
+
+    bool operator==(const QuotaQueueDecision&) const = default;
+};
+
+/**
+ * Orders the requests that wait for tokens of a quota at its home node.
+ *
+ * Load pattern: all nodes restart, so every bucket begins empty, while the callers of the whole fleet return at the same time. Each
+ * request alone would fit within a short wait, but a request that is refused and returns finds its tokens taken by a newer one. Here
+ * a request that would fit within the wait that its caller can bear keeps its place, and later requests are decided as if its tokens were
+ * taken. One that would not fit is refused at once, with the time at which the queue ahead of it will have been served.
+ *
+ * A place grants nothing by itself: tokens are taken only when the shares hold them, so a place that is lost or left costs only time.
+ */
+class QuotaQueue {
+public:
+    /**
+     * Decides on a request, or on its repetition.
+     * @param maxWait longest wait for which the request keeps a place.
+     */
+    QuotaQueueDecision decide(
+        QuotaShares&, const std::string& organisation, int tokens, const QuotaTicket&, Duration maxWait, TimePoint now);
+
+    /** Drops all places, for example because the home node has moved. */
+    void clear() { m_places.clear(); }
+
+private:
+    struct Place {
+        QuotaTicket ticket;
+        int tokens = 0;
+        TimePoint until; /**< The place is dropped if the request is not repeated by then. */
+    };
+    using Places = std::deque<Place>;
+
+    static int64_t tokensAhead(const Places&, const QuotaTicket&);
+    static void keep(Places&, const Place&);
+    static void remove(Places&, const QuotaTicket&);
+
+    std::map<std::string, Places> m_places; /**< By organisation, in order of arrival. */
+};
+
+} // namespace bronzeswitch
--- a/libs/gateway/include/gateway/QuotaShares.h
+++ b/libs/gateway/include/gateway/QuotaShares.h
@@ -103,8 +103,11 @@
     /** Stops using the shares of a group that peers have lent. @return the lenders. */
     std::vector<std::string> returnLentShares(int group, TimePoint now);
 
-    /** Takes the tokens of one request if the shares usable here hold enough. Refuses organisations without a known quota. */
-    QuotaDecision tryAcquire(const std::string& organisation, int tokens, TimePoint now);
+    /**
+     * Takes the tokens of one request if the shares usable here hold enough. Refuses organisations without a known quota.
+     * @param tokensAhead tokens that are kept free for earlier requests.
+     */
+    QuotaDecision tryAcquire(const std::string& organisation, int tokens, TimePoint now, int64_t tokensAhead = 0);
 
     /** @return the share of a group's quotas that this node may use now, 0 to 1. */
     double share(int group, TimePoint now);
--- a/libs/gateway/src/QuotaEnforcer.cpp
+++ b/libs/gateway/src/QuotaEnforcer.cpp
@@ -18,6 +18,7 @@
 QuotaEnforcer::QuotaEnforcer(Executor executor, QuotaBounds bounds, DecisionLog& log)
     : m_executor(executor)
     , m_log(log)
+    , m_window(bounds.window)
     , m_shares(bounds)
     , m_started(suspendAwareNow())
     , m_nodeCountChanged(m_started)
@@ -43,51 +44,58 @@
 
 std::string QuotaEnforcer::homeOf(int group) const { return m_callbacks.homeOf("quota/" + std::to_string(group)); }
 
-Task<QuotaResult> QuotaEnforcer::acquire(std::string organisation, int tokens, TimePoint deadline)
+Task<QuotaResult> QuotaEnforcer::acquire(std::string organisation, int tokens, QuotaPatience patience, TimePoint deadline)
 {
-    const auto lastTry = std::min(deadline, monotonicNow() + m_waitLimits.convergenceTimeout);
-    for (int waits = 0;;) {
-        auto result = co_await requestTokens(organisation, tokens, lastTry);
-        if (result.decision.isGranted || monotonicNow() >= lastTry)
+    const QuotaRequest request { ++m_lastRequestId, std::move(organisation), tokens, patience.usual.count(), patience.afterTakeover.count() };
+    const auto longestWait = std::max(m_waitLimits.convergenceTimeout, patience.longest()) + m_waitLimits.lastTryGrace;
+    const auto lastTry = std::min(deadline, monotonicNow() + longestWait);
+    for (;;) {
+        auto result = co_await requestTokens(request, lastTry);
+        const bool mayRepeat = result.isQueued || result.isInconclusive;
+        if (result.decision.isGranted || !mayRepeat || monotonicNow() >= lastTry)
             co_return result;
-        auto pause = m_waitLimits.convergenceRetryDelay;
-        if (!result.isInconclusive) {
-            pause = result.decision.wait;
-            if (pause > m_waitLimits.maxShortWait || ++waits > m_waitLimits.maxShortWaits)
-                co_return result;
-        }
-        co_await sleepFor(m_executor, pause);
+        co_await sleepFor(m_executor, result.isQueued ? result.decision.wait : m_waitLimits.convergenceRetryDelay);
     }
 }
 
-Task<QuotaResult> QuotaEnforcer::requestTokens(std::string organisation, int tokens, TimePoint deadline)
+Task<QuotaResult> QuotaEnforcer::requestTokens(QuotaRequest request, TimePoint deadline)
 {
-    const auto home = homeOf(QuotaShares::groupOf(organisation));
-    if (home == m_node || home.empty())
-        co_return decideLocally(organisation, tokens);
-    const QuotaRequest message { ++m_lastRequestId, organisation, tokens };
+    const auto home = homeOf(QuotaShares::groupOf(request.organisation));
+    if (home == m_node || home.empty()) {
+        const auto [decision, isQueued] = decide(m_node, request, suspendAwareNow());
+        co_return QuotaResult { decision, m_node, !isSufficient(decision.share), isQueued };
+    }
     const auto pending = std::make_shared<PendingRequest>(m_executor);
-    m_pending[message.id] = pending;
+    m_pending[request.id] = pending;
     auto timeout = m_waitLimits.firstTimeout;
     for (int sending = 0; sending < m_waitLimits.maxSends && !pending->event.isSet() && monotonicNow() < deadline; ++sending) {
-        m_callbacks.send(home, message);
+        m_callbacks.send(home, request);
         co_await pending->event.wait(std::min(deadline, monotonicNow() + timeout));
         timeout *= 2;
     }
-    m_pending.erase(message.id);
-    QuotaResult result { { false, tokens, m_waitLimits.convergenceRetryDelay, 0, 0 }, home, true };
+    m_pending.erase(request.id);
+    QuotaResult result { { false, request.tokens, m_waitLimits.convergenceRetryDelay, 0, 0 }, home, true, false };
     if (!pending->response)
         co_return result;
     const auto& response = *pending->response;
-    result.decision = { response.isGranted, tokens, Duration(response.waitMs), response.balance, response.shareMillionths / millionths };
+    result.decision
+        = { response.isGranted, request.tokens, Duration(response.waitMs), response.balance, response.shareMillionths / millionths };
     result.isInconclusive = !isSufficient(result.decision.share);
+    result.isQueued = response.isQueued;
     co_return result;
 }
 
-QuotaResult QuotaEnforcer::decideLocally(const std::string& organisation, int tokens)
+QuotaQueueDecision QuotaEnforcer::decide(const std::string& node, const QuotaRequest& request, TimePoint now)
+{
+    const int group = QuotaShares::groupOf(request.organisation);
+    const Duration maxWait(isNewHome(group, now) ? request.maxWaitAfterTakeoverMs : request.maxWaitMs);
+    return m_queue.decide(m_shares, request.organisation, request.tokens, { node, request.id }, maxWait, now);
+}
+
+bool QuotaEnforcer::isNewHome(int group, TimePoint now) const
 {
-    const auto decision = m_shares.tryAcquire(organisation, tokens, suspendAwareNow());
-    return { decision, m_node, !isSufficient(decision.share) };
+    const auto since = m_homeSince.find(group);
+    return since == m_homeSince.end() || now - since->second < m_window;
 }
 
 // A node that hears no other node has only its own share and can't wait for more, so the threshold counts live nodes only.
@@ -131,9 +139,9 @@
         m_callbacks.send(from, known->response);
         return;
     }
-    const auto decision = m_shares.tryAcquire(request.organisation, request.tokens, now);
+    const auto [decision, isQueued] = decide(from, request, now);
     const QuotaResponse response { request.id, decision.isGranted, decision.wait.count(), decision.balance,
-        static_cast<int>(std::lround(decision.share * millionths)) };
+        static_cast<int>(std::lround(decision.share * millionths)), isQueued };
     if (decision.isGranted)
         m_recentGrants.push_back({ from, now, response });
     m_callbacks.send(from, response);
@@ -192,14 +200,14 @@
 {
     for (const int group : m_limitedGroups) {
         const bool isHome = !m_isStopping && homeOf(group) == m_node;
-        if (isHome == m_homeGroups.contains(group))
+        if (isHome == m_homeSince.contains(group))
             continue;
         if (isHome) {
-            m_homeGroups.insert(group);
+            m_homeSince[group] = now;
             m_log.write(events::homeTaken, { { "quotas", group }, { "share", m_shares.share(group, now) } });
             continue;
         }
-        m_homeGroups.erase(group);
+        m_homeSince.erase(group);
         returnShares(group, now);
     }
 }
--- a/libs/gateway/src/QuotaShares.cpp
+++ b/libs/gateway/src/QuotaShares.cpp
@@ -129,7 +129,7 @@
     return lenders;
 }
 
-QuotaDecision QuotaShares::tryAcquire(const std::string& organisation, int tokens, TimePoint now)
+QuotaDecision QuotaShares::tryAcquire(const std::string& organisation, int tokens, TimePoint now, int64_t tokensAhead)
 {
     auto& group = m_groups[static_cast<std::size_t>(groupOf(organisation))];
     advance(group, now);
@@ -141,7 +141,8 @@
     decision.balance = static_cast<int64_t>(bucket.balance);
     // A request may overdraw a positive balance by the allowed debt, otherwise large requests would never find a sufficient balance.
     const double debt = decision.share * bucket.limits.maxDebt;
-    const double missing = std::max(-bucket.balance, tokens - debt - bucket.balance);
+    const double free = bucket.balance - static_cast<double>(tokensAhead);
+    const double missing = std::max(-free, tokens - debt - free);
     decision.isGranted = bucket.balance > 0 && missing <= 0;
     if (decision.isGranted) {
         bucket.balance -= tokens;
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t maxUnreachableUpstreams = 4; // Per request.
 constexpr int maxStaleResponses = 2; // Responses to earlier requests that are skipped on a connection.
 constexpr Duration minRetryAfter { 100 };
+constexpr int quotaWaitDivisor = 2; // A request waits for tokens for half of its target latency, so that it can still be in time.
+constexpr Duration maxQuotaWaitAfterTakeover { 1500 };
 constexpr Duration routingRetryAfter { 500 };
 constexpr uint64_t retrySpreadMs = 400; // Keeps the callers that an upstream rejected at one moment from returning together.
 constexpr int plainStartTimeoutFactor = 2; // Of the target latency; a plain request that waits longer for a slot is refused.
@@ -118,7 +120,7 @@
         co_return std::nullopt;
     const int tokens = m_resolved.metadata.promptTokens ? *m_resolved.metadata.promptTokens + m_resolved.metadata.outputTokens
                                                         : m_resolved.organisation->quota.defaultRequestTokens;
-    m_quotaResult = co_await m_context.quotas.acquire(m_resolved.organisation->name, tokens, m_deadline);
+    m_quotaResult = co_await m_context.quotas.acquire(m_resolved.organisation->name, tokens, quotaPatience(), m_deadline);
     m_quotaDecidedAt = monotonicNow();
     if (m_quotaResult->decision.isGranted)
         co_return std::nullopt;
@@ -127,6 +129,12 @@
     co_return problem;
 }
 
+QuotaPatience RequestTask::quotaPatience() const
+{
+    const auto& route = *m_resolved.route;
+    return { route.targetLatency / quotaWaitDivisor, std::min(maxQuotaWaitAfterTakeover, timeLeft(m_deadline) / quotaWaitDivisor) };
+}
+
 void RequestTask::setDeadlines()
 {
     const auto& route = *m_resolved.route;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -296,6 +296,8 @@
     uint64_t id = 0; /**< Unique among the requests of the sending node. */
     std::string organisation;
     int tokens = 0;
+    int64_t maxWaitMs = 0; /**< A request that would be granted within this time keeps a place in the home node's queue. */
+    int64_t maxWaitAfterTakeoverMs = 0; /**< The same while the home node is new. */
 
     bool operator==(const QuotaRequest&) const = default;
 };
@@ -307,6 +309,7 @@
     int64_t waitMs = 0; /**< Time after which a refused request may be granted. */
     int64_t balance = 0; /**< Tokens in the organisation's bucket at the home node, before the decision. */
     int shareMillionths = 0; /**< Share of the quota that the home node held, in millionths. */
+    bool isQueued = false; /**< A refused request keeps its place if it is sent again after the wait. */
 
     bool operator==(const QuotaResponse&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -46,9 +46,9 @@
     else if constexpr (std::is_same_v<Type, UpstreamLoad>)
         return std::tie(message.upstream, message.running, message.backlogMs, message.betweenTokensUs);
     else if constexpr (std::is_same_v<Type, QuotaRequest>)
-        return std::tie(message.id, message.organisation, message.tokens);
+        return std::tie(message.id, message.organisation, message.tokens, message.maxWaitMs, message.maxWaitAfterTakeoverMs);
     else if constexpr (std::is_same_v<Type, QuotaResponse>)
-        return std::tie(message.id, message.isGranted, message.waitMs, message.balance, message.shareMillionths);
+        return std::tie(message.id, message.isGranted, message.waitMs, message.balance, message.shareMillionths, message.isQueued);
     else if constexpr (std::is_same_v<Type, QuotaShareLoan>)
         return std::tie(message.nodes, message.groups);
     else if constexpr (std::is_same_v<Type, QuotaShareReturn>)
