Find failing plain upstreams by the counts of all nodes, let leases of a silent home end, and shrink the quota's debt

After the loss of a quota's home its lenders went on renewing the lease until the home counted as lost, and then waited for its end. After a restart each share begins with the debt that its last holder may have had.

--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -16,6 +16,7 @@
 /** Timeouts for judging the state of peers. */
 struct PeerTimeouts {
     Duration liveTimeout { 1500 }; /**< A peer counts as live for this long after its last report. */
+    Duration silentTimeout { 800 }; /**< After this long without a report, a peer may be gone; longer than between two reports. */
     Duration minSuspicionTime { 1000 }; /**< A peer that did not respond is avoided for at least this long, and until its next report. */
     Duration newDelegateTime { 1500 }; /**< For this long, each report names a new delegate. */
     Duration forgetTimeout { 30000 }; /**< An address without a report for this long is dropped. */
@@ -110,6 +111,9 @@
     /** @return CPU capacity that a live peer has reported, 0 if unknown. */
     int capacityOf(const std::string& address) const;
 
+    /** @return true if a peer has missed a report, so that it may be gone. */
+    bool isSilent(const std::string& address, TimePoint now) const;
+
     /** Marks a peer that did not respond, to exclude it from responsivePeers() for a while. */
     void suspect(const std::string& address, TimePoint now);
 
--- a/libs/gateway/include/gateway/SlotAllocator.h
+++ b/libs/gateway/include/gateway/SlotAllocator.h
@@ -6,11 +6,13 @@
 #include <gateway/VersionRule.h>
 #include <net/Async.h>
 #include <protocol/Messages.h>
+#include <sched/FailureCounts.h>
 #include <sched/PoolScheduler.h>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace bronzeswitch {
 
@@ -74,11 +76,17 @@
     /** Replaces the loads that a peer has reported. */
     void setPeerLoads(const std::string& peer, const std::vector<UpstreamLoad>&);
 
+    /** Replaces the upstreams that a peer suspects of failing many of their requests. */
+    void setPeerSuspects(const std::string& peer, const std::vector<std::string>& suspects);
+
+    /** @return the upstreams that this node suspects by its own counts and those of its peers. */
+    std::vector<std::string> suspects();
+
     /** Frees the slots that a lost peer holds here and drops its requests. */
     void onPeerLost(const std::string& peer);
 
     /** @return this node's running requests and speed estimates by upstream, for its reports to peers. */
-    std::vector<UpstreamLoad> loads() const;
+    std::vector<UpstreamLoad> loads();
 
     /** Refuses requests that can't be served in time and grants slots that have become free. Called periodically. */
     void tick();
@@ -114,6 +122,7 @@
     void deliver(const SlotDecisions&);
     PoolScheduler* findPool(const std::string& pool);
     void updateOwnLoad(const std::string& upstream);
+    void updateSuspects();
 
     Executor m_executor;
     std::string m_node;
@@ -125,6 +134,9 @@
     std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending;
     std::map<uint64_t, std::string> m_grantors; /**< Nodes that granted the slots in use on this node, by request identifier. */
     std::map<std::string, int> m_running; /**< This node's running requests by upstream. */
+    FailureCounts m_failureCounts;
+    std::map<std::string, std::set<std::string>> m_peerSuspects;
+    std::set<std::string> m_suspects; /**< Of this node or of a peer. */
     uint64_t m_lastRequestId = 0;
 };
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -125,7 +125,8 @@
     m_quotas.connect(peerAddress(),
         { [this](const std::string& key) { return homeOf(key, m_peers.readyPeers()); },
             [this](const std::string& address, const Message& message) { send(address, message); },
-            [this] { return m_peers.knownNodeCount(); }, [this] { return m_peers.liveNodeCount(); } });
+            [this] { return m_peers.knownNodeCount(); }, [this] { return m_peers.liveNodeCount(); },
+            [this](const std::string& address) { return m_peers.isSilent(address, monotonicNow()); } });
     const auto onFailure = [this](const std::string& reason) {
         m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } });
     };
@@ -238,6 +239,7 @@
         send(sender, response);
     }
     m_rollouts.setPeerReports(sender, report->incarnation, report->rollouts, monotonicNow());
+    m_slots.setPeerSuspects(sender, report->suspects);
     if (report->hasLoads)
         m_slots.setPeerLoads(sender, report->loads);
 }
@@ -278,6 +280,7 @@
     report.routingVersion = m_context.routing ? m_context.routing->version() : 0;
     report.directoryOffset = m_directoryOffset;
     report.loads = m_slots.loads();
+    report.suspects = m_slots.suspects();
     report.rollouts = m_rollouts.reports(monotonicNow());
     report.capacity = m_options.capacity;
     report.isDelegate = m_isDelegate;
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -196,6 +196,12 @@
     return peer == m_peers.end() || !peer->second.isLive ? 0 : peer->second.report.capacity;
 }
 
+bool PeerView::isSilent(const std::string& address, TimePoint now) const
+{
+    const auto peer = m_peers.find(address);
+    return peer != m_peers.end() && now - peer->second.lastReport > m_timeouts.silentTimeout;
+}
+
 void PeerView::suspect(const std::string& address, TimePoint now)
 {
     if (const auto found = m_peers.find(address); found != m_peers.end())
--- a/libs/gateway/src/QuotaEnforcer.cpp
+++ b/libs/gateway/src/QuotaEnforcer.cpp
@@ -229,6 +229,8 @@
         const auto home = homeOf(group);
         if (home.empty() || home == m_node || !m_shares.mayLend(group, home, now))
             continue;
+        if (m_callbacks.isSilent && m_callbacks.isSilent(home))
+            continue;
         m_shares.lend(group, home, now);
         auto& loan = loans[home];
         loan.nodes = m_nodeCount;
--- a/libs/gateway/src/QuotaShares.cpp
+++ b/libs/gateway/src/QuotaShares.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 // Fractions of the tolerated excess over the quota. The rest is a reserve for messages that are delayed longer than a lease allows.
-constexpr double bucketTolerance = 0.8;
-constexpr double debtTolerance = 0.15;
+constexpr double bucketTolerance = 0.9;
+constexpr double debtTolerance = 0.05;
 constexpr double refillTolerance = 0.2; // Fraction of the bucket's tolerance that raises its refill rate; the rest raises its capacity.
 constexpr double minBurst = 0.125; // Smallest capacity as a fraction of the rate's tokens in a window, for quotas with little or no burst.
 constexpr double minShare = 1e-6; // Smaller shares count as none.
--- a/libs/gateway/src/SlotAllocator.cpp
+++ b/libs/gateway/src/SlotAllocator.cpp
@@ -248,6 +248,8 @@
     for (auto& [name, pool] : m_pools)
         deliver(pool.releaseSlot(m_node, slotRelease, monotonicNow()));
     updateOwnLoad(upstream);
+    if (slotRelease.outcome != DispatchOutcome::Cancelled)
+        m_failureCounts.onResult(upstream, slotRelease.outcome != DispatchOutcome::Completed, monotonicNow());
 }
 
 // Tells the schedulers how much this node runs at the upstream, so that they count dispatches that another node granted too.
@@ -349,23 +351,59 @@
 void SlotAllocator::setPeerLoads(const std::string& peer, const std::vector<UpstreamLoad>& loads)
 {
     std::map<std::string, NodeLoad> byUpstream;
-    for (const auto& load : loads)
+    std::map<std::string, UpstreamResults> results;
+    for (const auto& load : loads) {
         byUpstream[load.upstream] = { load.running, load.backlogMs / millisecondsPerSecond, load.betweenTokensUs / millisecondsPerSecond };
+        results[load.upstream] = { load.succeeded, load.failed };
+    }
+    m_failureCounts.setPeer(peer, std::move(results));
     for (auto& [name, pool] : m_pools)
         deliver(pool.setNodeLoads(peer, byUpstream, monotonicNow()));
 }
 
 void SlotAllocator::onPeerLost(const std::string& peer)
 {
+    m_failureCounts.removePeer(peer);
+    m_peerSuspects.erase(peer);
     for (auto& [name, pool] : m_pools)
         deliver(pool.removeNode(peer, monotonicNow()));
 }
 
-std::vector<UpstreamLoad> SlotAllocator::loads() const
+void SlotAllocator::setPeerSuspects(const std::string& peer, const std::vector<std::string>& suspects)
+{
+    m_peerSuspects[peer] = { suspects.begin(), suspects.end() };
+}
+
+std::vector<std::string> SlotAllocator::suspects()
+{
+    const auto own = m_failureCounts.suspects(monotonicNow());
+    return { own.begin(), own.end() };
+}
+
+void SlotAllocator::updateSuspects()
+{
+    auto suspects = m_failureCounts.suspects(monotonicNow());
+    for (const auto& [peer, peerSuspects] : m_peerSuspects)
+        suspects.insert(peerSuspects.begin(), peerSuspects.end());
+    if (suspects == m_suspects)
+        return;
+    m_suspects = std::move(suspects);
+    m_log.write(events::upstreamsSuspected, { { "upstreams", m_suspects } });
+    for (auto& [name, pool] : m_pools)
+        pool.setSuspects(m_suspects);
+}
+
+std::vector<UpstreamLoad> SlotAllocator::loads()
 {
     std::map<std::string, UpstreamLoad> result;
     for (const auto& [upstream, running] : m_running)
-        result[upstream] = { upstream, running, 0, 0 };
+        result[upstream] = { upstream, running, 0, 0, 0, 0 };
+    for (const auto& [upstream, results] : m_failureCounts.own(monotonicNow())) {
+        auto& entry = result[upstream];
+        entry.upstream = upstream;
+        entry.succeeded = results.succeeded;
+        entry.failed = results.failed;
+    }
     for (const auto& [name, pool] : m_pools) {
         for (const auto& [upstream, load] : pool.upstreamEstimates(monotonicNow())) {
             auto& entry = result[upstream];
@@ -383,6 +421,7 @@
 
 void SlotAllocator::tick()
 {
+    updateSuspects();
     for (auto& [name, pool] : m_pools)
         deliver(pool.tick(monotonicNow()));
 }
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -207,6 +207,8 @@
     int running = 0; /**< Requests in flight. */
     int backlogMs = 0; /**< Estimated time until the upstream has processed the prompts that the node sent. */
     int betweenTokensUs = 0; /**< The node's estimate of the time between tokens in microseconds, 0 if unknown. */
+    int succeeded = 0; /**< The node's requests that ended well within a short window. */
+    int failed = 0; /**< The node's requests that failed within that window. */
 
     bool operator==(const UpstreamLoad&) const = default;
 };
@@ -273,6 +275,7 @@
     int64_t directoryOffset = 0; /**< Offset up to which the node has read the changes of the upstream directory. */
     bool hasLoads = true; /**< False if the loads are left out because the receiver doesn't need them. */
     std::vector<UpstreamLoad> loads;
+    std::vector<std::string> suspects; /**< Upstreams that fail many of their requests, by the counts that the sender knows. */
     std::vector<NamedPeer> peers; /**< Some of the peers that are live to the sender. */
     std::vector<RolloutReport> rollouts;
     int capacity = 0; /**< CPU time that the sender may use, in thousandths of a core; 0 if unknown. */
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -173,6 +173,9 @@
     std::size_t inFlight() const { return m_slots.size(); }
     int inFlight(const std::string& upstream) const;
 
+    /** Sets the upstreams that fail many of their requests; they get requests only if no other upstream can take them. */
+    void setSuspects(std::set<std::string> suspects) { m_suspects = std::move(suspects); }
+
     /** Sets how many requests a node reports to run at one upstream. */
     void setReportedRunning(const std::string& node, const std::string& upstream, int running);
 
@@ -259,6 +262,7 @@
     bool m_wasFull = false; /**< No upstream had a free slot when last checked, with requests waiting. */
     double m_topRankPeak = 0; /**< Recent peak of the slots that the highest rank used; decays. */
     CandidateShare m_candidateShare;
+    std::set<std::string> m_suspects;
 };
 
 } // namespace bronzeswitch
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -16,6 +16,7 @@
 constexpr double prefillInterferenceWeight = 0.5; // Prefill of an uncached prompt delays the other requests at the upstream.
 constexpr double latePenaltySeconds = 2; // Cost of a late first token, expressed as additional response time.
 constexpr double remoteDataCentrePenaltySeconds = 0.004; // Two more trips between data centres, and traffic that is billed.
+constexpr double suspectPenaltySeconds = 10; // More than any other penalty.
 constexpr Duration expiryGrace { 5000 }; // Time after its deadline until a slot that was not released is freed.
 constexpr Duration maxReportAge { 10000 };
 constexpr Duration inFlightHistorySpan { 12000 }; // Longer than maxReportAge, so that every usable report can be compared.
@@ -190,7 +191,8 @@
     const double load = fullLoadPenaltySeconds * (requests + 1) / std::max(1, state.limit.value(now));
     const double interference = prefillInterferenceWeight * state.speed.prefillSeconds(uncachedTokens(state, request));
     return firstToken + interference + state.speed.decodeSeconds(request.outputTokens) + load + (isLikelyLate ? latePenaltySeconds : 0)
-        + (isInPreferredDataCentre(state, request) ? 0 : remoteDataCentrePenaltySeconds);
+        + (isInPreferredDataCentre(state, request) ? 0 : remoteDataCentrePenaltySeconds)
+        + (m_suspects.contains(state.config.name) ? suspectPenaltySeconds : 0);
 }
 
 bool PoolScheduler::isUsable(const UpstreamState& state, const Waiter& waiter, const VersionPlan& plan, const std::string& version) const
