--- a/libs/gateway/include/gateway/QuotaEnforcer.h
+++ b/libs/gateway/include/gateway/QuotaEnforcer.h
@@ -28,7 +28,9 @@
 /** How long a request may wait for tokens. */
 struct QuotaPatience {
     Duration usual { 0 }; /**< Short, so that no standing queue forms when an organisation sends more than its quota. */
-    Duration afterTakeover { 0 }; /**< While a home node is new: its buckets began empty, so the organisation may well be below its quota. */
+    Duration afterTakeover {
+        0
+    }; /**< While a home node is new: its buckets began empty, so the organisation may well be below its quota. */
 
     Duration longest() const { return std::max(usual, afterTakeover); }
     bool operator==(const QuotaPatience&) const = default;
--- a/libs/gateway/include/gateway/QuotaShares.h
+++ b/libs/gateway/include/gateway/QuotaShares.h
@@ -64,11 +64,11 @@
  * killed, frozen or cut off from the others.
  *
  * Each of n nodes owns a share of 1/n of every quota. A share is a token bucket with 1/n of the rate and the capacity, and it
- * starts empty. There are two buckets, one for bursts and one for a lasting load (BucketPair). Organisations are divided into groups. Each group has a home node, to which all nodes lend their shares under
- * short leases, so that the home node can grant a request of any size from the whole quota. A lender stops using its share before
- * the home node receives it, and reclaims it empty after the home node has stopped using it. So all nodes together never grant more
- * than the quota, whichever messages are lost or late and whichever nodes restart or are cut off; a fault only leaves a share
- * unused for a while.
+ * starts empty. There are two buckets, one for bursts and one for a lasting load (BucketPair). Organisations are divided into groups. Each
+ * group has a home node, to which all nodes lend their shares under short leases, so that the home node can grant a request of any size
+ * from the whole quota. A lender stops using its share before the home node receives it, and reclaims it empty after the home node has
+ * stopped using it. So all nodes together never grant more than the quota, whichever messages are lost or late and whichever nodes restart
+ * or are cut off; a fault only leaves a share unused for a while.
  *
  * Times must come from a clock that continues while the machine is suspended, so that leases have expired when it resumes.
  *
--- a/libs/gateway/include/gateway/SlotAllocator.h
+++ b/libs/gateway/include/gateway/SlotAllocator.h
@@ -21,8 +21,8 @@
  *
  * A slot is the permission to run one request at an upstream. The engines of one service form a pool with a home node, which
  * queues the slot requests of all nodes in one order. Requests to plain services are short, so each node allocates their slots
- * itself, except while a new version of the service is on trial. If a home node does not respond in time, it is avoided for a while, and this node decides from the loads that the nodes
- * report to each other: no guarantee depends on the home node.
+ * itself, except while a new version of the service is on trial. If a home node does not respond in time, it is avoided for a while, and
+ * this node decides from the loads that the nodes report to each other: no guarantee depends on the home node.
  *
  *     auto grant = co_await allocator.acquire(request, deadline);
  *     ...
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -179,8 +179,7 @@
 // Strong nodes rank first: they read and pass on large state for the others.
 int GatewayNode::sourceRankAmong(const std::vector<std::string>& readers) const
 {
-    const auto sortKey
-        = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
+    const auto sortKey = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
     const auto own = sortKey(peerAddress(), m_options.capacity);
     return static_cast<int>(std::count_if(readers.begin(), readers.end(),
         [&](const std::string& reader) { return !m_isSourceReachable || sortKey(reader, m_peers.capacityOf(reader)) < own; }));
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -93,8 +93,7 @@
 
 bool PeerView::isDelegate() const
 {
-    const auto sortKey
-        = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
+    const auto sortKey = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
     const auto own = sortKey(m_own.address, m_own.capacity);
     const auto rank = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
         const auto& [address, peer] = entry;
--- a/libs/gateway/src/QuotaEnforcer.cpp
+++ b/libs/gateway/src/QuotaEnforcer.cpp
@@ -46,7 +46,8 @@
 
 Task<QuotaResult> QuotaEnforcer::acquire(std::string organisation, int tokens, QuotaPatience patience, TimePoint deadline)
 {
-    const QuotaRequest request { ++m_lastRequestId, std::move(organisation), tokens, patience.usual.count(), patience.afterTakeover.count() };
+    const QuotaRequest request { ++m_lastRequestId, std::move(organisation), tokens, patience.usual.count(),
+        patience.afterTakeover.count() };
     const auto longestWait = std::max(m_waitLimits.convergenceTimeout, patience.longest()) + m_waitLimits.lastTryGrace;
     const auto lastTry = std::min(deadline, monotonicNow() + longestWait);
     for (;;) {
--- a/libs/gateway/tests/PeerViewTests.cpp
+++ b/libs/gateway/tests/PeerViewTests.cpp
@@ -103,8 +103,8 @@
 
     int connectedIn(const std::string& dataCentre) const
     {
-        return static_cast<int>(std::count_if(m_nodes.begin(), m_nodes.end(),
-            [&](const Node& node) { return isConnected(node) && node.own.dataCentre == dataCentre; }));
+        return static_cast<int>(std::count_if(
+            m_nodes.begin(), m_nodes.end(), [&](const Node& node) { return isConnected(node) && node.own.dataCentre == dataCentre; }));
     }
 
     int nearNodes(const Node& node) const
--- a/libs/gateway/tests/QuotaQueueTests.cpp
+++ b/libs/gateway/tests/QuotaQueueTests.cpp
@@ -53,7 +53,8 @@
         attempts.emplace(start + Duration(20) * id, id);
     auto time = start;
     for (uint64_t id = returning + 1; time < start + Duration(6000); ++id) {
-        const std::chrono::duration<double> pause(std::exponential_distribution<double>(shareOfRate * quota.ratePerSecond / tokens)(random));
+        const std::chrono::duration<double> pause(
+            std::exponential_distribution<double>(shareOfRate * quota.ratePerSecond / tokens)(random));
         time += std::chrono::duration_cast<TimePoint::duration>(pause);
         attempts.emplace(time, id);
     }
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -44,8 +44,7 @@
     else if constexpr (std::is_same_v<Type, PromptPrefix>)
         return std::tie(message.hash, message.tokens);
     else if constexpr (std::is_same_v<Type, UpstreamLoad>)
-        return std::tie(
-            message.upstream, message.running, message.backlogMs, message.betweenTokensUs, message.succeeded, message.failed);
+        return std::tie(message.upstream, message.running, message.backlogMs, message.betweenTokensUs, message.succeeded, message.failed);
     else if constexpr (std::is_same_v<Type, QuotaRequest>)
         return std::tie(message.id, message.organisation, message.tokens, message.maxWaitMs, message.maxWaitAfterTakeoverMs);
     else if constexpr (std::is_same_v<Type, QuotaResponse>)
@@ -56,8 +55,8 @@
         return std::tie(message.groups);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.suspects, message.peers, message.rollouts,
-            message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable);
+            message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.suspects, message.peers,
+            message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable);
     else if constexpr (std::is_same_v<Type, NamedPeer>)
         return std::tie(message.address, message.dataCentre, message.isDelegate);
     else if constexpr (std::is_same_v<Type, VersionTally>)
@@ -82,8 +81,8 @@
 }
 
 template <typename Field>
-concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field, NamedPeer> || std::is_same_v<Field,
-    VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field, RolloutReport>;
+concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
+    NamedPeer> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field, RolloutReport>;
 
 template <typename Field> struct IsList : std::false_type {
 };
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -452,8 +452,7 @@
             inFlightThen = count;
     }
     const int own = std::max(inFlightThen, state.inFlight.grantedSlots());
-    state.untracked.onReport(
-        std::max(0, report.running + report.waiting - own - untrackedTolerance), m_plan.loadReportLifetime, now);
+    state.untracked.onReport(std::max(0, report.running + report.waiting - own - untrackedTolerance), m_plan.loadReportLifetime, now);
 }
 
 void PoolScheduler::onCacheEvent(const std::string& upstream, int64_t sequence, bool isStored, uint64_t prefix)
