--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -3,12 +3,12 @@
 #include <gateway/CallerServer.h>
 #include <gateway/GatewayContext.h>
 #include <gateway/PeerView.h>
+#include <gateway/StateFetcher.h>
 #include <net/DatagramSocket.h>
 #include <net/SimpleHttpServer.h>
 
 #include <map>
 #include <memory>
-#include <random>
 
 namespace bronzeswitch {
 
@@ -77,7 +77,7 @@
     int sourceRankInDataCentre() const { return sourceRankAmong(m_peers.peersReachingSource(m_options.dataCentre)); }
 
     /** @return true if a peer has a newer routing than this node. */
-    bool isRoutingOutdated() const;
+    bool isRoutingOutdated() const { return m_stateFetcher.isRoutingOutdated(); }
 
     /** Sets whether this node can reach the source of routing and directory. */
     void setSourceReachable(bool isReachable) { m_isSourceReachable = isReachable; }
@@ -86,8 +86,8 @@
     void announceChanges(const std::string& changes);
 
     /** Sets the offset in the directory's changes up to which this node has read. */
-    void setDirectoryOffset(int64_t offset);
-    int64_t directoryOffset() const { return m_directoryOffset; }
+    void setDirectoryOffset(int64_t offset) { m_stateFetcher.setDirectoryOffset(offset); }
+    int64_t directoryOffset() const { return m_stateFetcher.directoryOffset(); }
 
     /** Shuts down gracefully: readiness turns off, running requests may end, and the periodic tasks stop. */
     Task<void> drain();
@@ -120,21 +120,6 @@
     void onDatagram(const DatagramEndpoint&, const std::string& bytes);
     Task<void> sendReports();
     Task<void> runMaintenance();
-    Task<void> fetchPeerState();
-
-    /** A peer that has state which this node lacks. */
-    struct FetchTarget {
-        std::string address;
-        bool needsDirectory = false; /**< The directory is fetched as well as the routing. */
-    };
-
-    /**
-     * Looks for a peer that has a newer routing, or that has read more of the directory while this node's offset stays the same.
-     * @return the peer to ask now, or nothing.
-     */
-    std::optional<FetchTarget> chooseFetchTarget();
-
-    Task<void> fetchFrom(const FetchTarget&);
     int sourceRankAmong(const std::vector<std::string>& readers) const;
 
     void reportNow();
@@ -173,17 +158,14 @@
     QuotaEnforcer m_quotas;
     GatewayContext m_context;
     PeerView m_peers;
+    StateFetcher m_stateFetcher;
     StateCallbacks m_stateCallbacks;
     std::unique_ptr<CallerServer> m_callerServer;
     std::unique_ptr<SimpleHttpServer> m_readinessServer;
     std::unique_ptr<SimpleHttpServer> m_peerServer;
     std::unique_ptr<DatagramSocket> m_datagrams;
-    int64_t m_directoryOffset = -1; /**< -1 before the directory has been read. */
-    TimePoint m_directoryOffsetChangedAt {};
     int64_t m_incarnation = 0; /**< Unix milliseconds of the node's start. */
     uint64_t m_sequence = 0; /**< Of the last report. */
-    TimePoint m_routingOutdatedSince = TimePoint::max(); /**< When this node learned of a newer routing that it still lacks. */
-    std::minstd_rand m_random { std::random_device {}() };
     bool m_isDelegate = true;
     bool m_isSourceReachable = true;
     bool m_isStopping = false;
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace bronzeswitch {
@@ -33,9 +34,12 @@
     bool operator==(const OwnNode&) const = default;
 };
 
+/** @return the key by which all nodes rank each other: strong nodes first, then by a hash of the address. @param capacity CPU time. */
+std::tuple<int, uint64_t, std::string> nodeRankKey(const std::string& address, int capacity);
+
 /** The addresses to which a node sends its reports. */
 struct ReportTargets {
-    std::vector<std::string> withLoads; /**< Delegates, which are or may become homes of pools, and nodes not heard of yet. */
+    std::vector<std::string> withLoads; /**< Delegates, which are or may become homes of pools, and nodes that have not reported yet. */
     std::vector<std::string> withoutLoads;
 
     std::size_t size() const { return withLoads.size() + withoutLoads.size(); }
@@ -120,14 +124,14 @@
     /** @return the number of nodes that are live to this node or to a delegate, including this one. */
     int liveNodeCount() const;
 
-    /** @return the number of nodes that may exist, including this one, as far as this node or a delegate has heard of them recently. */
+    /** @return the number of nodes that may exist, including this one, as far as this node or a delegate knows from recent reports. */
     int knownNodeCount() const;
 
     /** @return the number of peers that are live to this node, and this node. */
-    int heardLiveNodeCount() const { return static_cast<int>(livePeers().size()) + 1; }
+    int directLiveNodeCount() const { return static_cast<int>(livePeers().size()) + 1; }
 
-    /** @return the number of peers that this node has heard of itself and not dropped, and this node. */
-    int heardNodeCount() const;
+    /** @return the number of peers that have reported to this node and were not dropped, and this node. */
+    int directNodeCount() const;
 
     /**
      * @return the live peers that have the newest routing known, empty if none is newer than a version.
--- a/libs/gateway/include/gateway/QuotaEnforcer.h
+++ b/libs/gateway/include/gateway/QuotaEnforcer.h
@@ -26,14 +26,14 @@
 };
 
 /** How long a request may wait for tokens. */
-struct QuotaPatience {
-    Duration usual { 0 }; /**< Short, so that no standing queue forms when an organisation sends more than its quota. */
-    Duration afterTakeover {
-        0
-    }; /**< While a home node is new: its buckets began empty, so the organisation may well be below its quota. */
+struct QuotaWaits {
+    /** Short, so that no standing queue forms when an organisation sends more than its quota. */
+    Duration usual { 0 };
+    /** While a home node is new: its buckets began empty, so the organisation may well be below its quota. */
+    Duration afterTakeover { 0 };
 
     Duration longest() const { return std::max(usual, afterTakeover); }
-    bool operator==(const QuotaPatience&) const = default;
+    bool operator==(const QuotaWaits&) const = default;
 };
 
 /** The decision on one request's tokens, and which node made it. */
@@ -54,7 +54,7 @@
  * QuotaShares makes the decisions; this class exchanges the messages. A request that gets no response is resent, and the caller's
  * request waits meanwhile, since there is no ground for refusing it.
  *
- *     const auto result = co_await enforcer.acquire("crews", 700, patience, deadline);
+ *     const auto result = co_await enforcer.acquire("crews", 700, waits, deadline);
  */
 class QuotaEnforcer {
 public:
@@ -81,7 +81,7 @@
     void configure(const RoutingTable&);
 
     /** Requests tokens and waits for the decision. @param deadline of the caller's request. */
-    Task<QuotaResult> acquire(std::string organisation, int tokens, QuotaPatience, TimePoint deadline);
+    Task<QuotaResult> acquire(std::string organisation, int tokens, QuotaWaits, TimePoint deadline);
 
     /** Processes a peer's message about quotas. @return false if the message is about something else. */
     bool onMessage(const std::string& from, const Message&);
--- a/libs/gateway/include/gateway/QuotaQueue.h
+++ b/libs/gateway/include/gateway/QuotaQueue.h
@@ -47,9 +47,6 @@
     QuotaQueueDecision decide(
         QuotaShares&, const std::string& organisation, int tokens, const QuotaTicket&, Duration maxWait, TimePoint now);
 
-    /** Drops all places, for example because the home node has moved. */
-    void clear() { m_places.clear(); }
-
 private:
     struct Place {
         QuotaTicket ticket;
--- a/libs/gateway/include/gateway/StateFetchPolicy.h
+++ b/libs/gateway/include/gateway/StateFetchPolicy.h
@@ -21,20 +21,20 @@
  * Chooses the peer from which a node fetches a newer routing.
  *
  * Load pattern: a routing of some hundred kilobytes becomes known, and every node wants it at the same time over links that carry a few
- * copies a second. Each node asks a random one of the peers in its data centre that have the routing, and a peer that serves
+ * copies a second. Each node fetches from a random one of the peers in its data centre that have the routing, and a peer that serves
  * enough copies refuses others. Every node that has got a copy serves the next ones, so the copies spread as a tree within each
  * data centre. Only if no peer there has the routing for a while does a node fetch it from another data centre.
  */
 struct StateFetchPolicy {
     Duration retryInterval { 100 }; /**< Pause between two attempts. */
     Duration timeout { 1500 }; /**< Of one attempt. */
-    ResponseLimit responseLimit { 64UL * 1024, 3 }; /**< Of the peer that is asked: a slow link carries few copies at a time. */
-    Duration ownDataCentreOnly { 400 }; /**< Time for which only peers in the own data centre are asked. */
+    ResponseLimit responseLimit { 64UL * 1024, 3 }; /**< Of the serving peer: a slow link carries few copies at a time. */
+    Duration ownDataCentreOnly { 400 }; /**< Time for which only peers in the own data centre are chosen. */
     Duration sourceDelay { 1200 }; /**< Time after which the node reads the source itself. */
 
     /**
      * @param behindFor time since this node has known of a newer routing.
-     * @return the peer to ask, or nothing if the node should wait.
+     * @return the address of the peer, or nothing if the node should wait.
      */
     template <typename Random>
     std::optional<std::string> choosePeer(const std::vector<StateHolder>& holders, Duration behindFor, Random& random) const
--- /dev/null
+++ b/libs/gateway/include/gateway/StateFetcher.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <gateway/GatewayContext.h>
+#include <gateway/PeerView.h>
+
+#include <optional>
+#include <random>
+#include <string>
+
+namespace bronzeswitch {
+
+/**
+ * Fetches routing and directory from peers that have newer state, so that a few nodes read the source for all, and a node that can't
+ * reach the source is kept up to date.
+ *
+ *     StateFetcher fetcher(context, peers, dataCentre);
+ *     startTask(executor, fetcher.run(applyState), onFailure);
+ */
+class StateFetcher {
+public:
+    static constexpr const char* statePath = "/state"; /**< Where a node serves its state to peers. */
+    static constexpr const char* routingStatePath = "/state?routing"; /**< The same without the directory, which is much larger. */
+
+    StateFetcher(GatewayContext&, const PeerView&, std::string dataCentre);
+
+    /** Fetches newer state until stop() is called. @param applyState applies a peer's state where it is newer. */
+    Task<void> run(std::function<void(const std::string&)> applyState);
+
+    void stop() { m_isStopping = true; }
+
+    /** @return true if a peer has a newer routing than this node. */
+    bool isRoutingOutdated() const { return !newerRoutingHolders().empty(); }
+
+    /** Sets the offset in the directory's changes up to which this node has read. */
+    void setDirectoryOffset(int64_t offset);
+    int64_t directoryOffset() const { return m_directoryOffset; }
+
+private:
+    /** A peer that has state which this node lacks. */
+    struct Target {
+        std::string address;
+        bool needsDirectory = false; /**< The directory is fetched as well as the routing. */
+    };
+
+    std::vector<StateHolder> newerRoutingHolders() const;
+
+    /**
+     * Looks for a peer that has a newer routing, or that has read more of the directory while this node's offset stays the same.
+     * @return the peer to fetch from now, or nothing.
+     */
+    std::optional<Target> chooseTarget();
+
+    Task<void> fetchFrom(const Target&);
+
+    /** @return how long this node has known of a newer routing that it lacks. */
+    Duration behindFor(TimePoint now) const;
+
+    GatewayContext& m_context;
+    const PeerView& m_peers;
+    std::string m_dataCentre;
+    StateFetchPolicy m_policy;
+    std::function<void(const std::string&)> m_applyState;
+    int64_t m_directoryOffset = -1; /**< -1 before the directory has been read. */
+    TimePoint m_directoryOffsetChangedAt {};
+    std::optional<TimePoint> m_outdatedSince; /**< When this node learned of a newer routing that it still lacks. */
+    std::minstd_rand m_random { std::random_device {}() };
+    bool m_isStopping = false;
+};
+
+} // namespace bronzeswitch
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -17,11 +17,6 @@
 constexpr std::size_t peersForNewNode = 64; // All of a data centre and the delegates, so that a new node soon knows them.
 constexpr Duration maintenanceInterval { 100 };
 constexpr Duration connectionSweepInterval { 1000 };
-constexpr StateFetchPolicy fetchPolicy;
-constexpr Duration directoryStaleAfter { 800 }; // Without a change of the directory's offset.
-constexpr std::size_t maxStateBytes = 16UL * 1024 * 1024;
-constexpr const char* statePath = "/state";
-constexpr const char* routingStatePath = "/state?routing"; // Leaves out the directory, which is much larger.
 constexpr const char* metricsPath = "/metrics";
 
 std::string formatEndpoint(const DatagramEndpoint& endpoint)
@@ -68,6 +63,7 @@
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(headerCodec), m_log, m_metrics, m_connectionPool,
         m_slots, m_rollouts, m_quotas, nullptr, {}, {}, [this] { return m_peers.knownNodeCount(); } }
     , m_peers(PeerTimeouts {})
+    , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
     , m_incarnation(unixMilliseconds())
 {
     addSeeds(m_options.seeds);
@@ -95,7 +91,7 @@
     if (!peerServer)
         return tl::unexpected(peerServer.error());
     m_peerServer = std::move(*peerServer);
-    m_peerServer->limitLargeResponses(fetchPolicy.responseLimit);
+    m_peerServer->limitLargeResponses(StateFetchPolicy {}.responseLimit);
     const auto bound = m_peerServer->endpoint();
     auto datagrams = DatagramSocket::create(m_context.executor, { bound.address(), bound.port() });
     if (!datagrams)
@@ -136,7 +132,7 @@
     m_datagrams->start([this](const DatagramEndpoint& from, const std::string& bytes) { onDatagram(from, bytes); });
     startBackgroundTask("reports", sendReports());
     startBackgroundTask("house", runMaintenance());
-    startBackgroundTask("fetch", fetchPeerState());
+    startBackgroundTask("fetch", m_stateFetcher.run(m_stateCallbacks.applyState));
     m_log.write(events::started, { { "callers", m_options.callerEndpoint.port() }, { "peers", peerAddress() } });
 }
 
@@ -169,7 +165,7 @@
     const bool wasReady = isReady();
     if (!change(m_context.directory))
         return false;
-    m_log.write(events::upstreamsChanged, { { "upstreams", m_context.directory.entries().size() }, { "offset", m_directoryOffset } });
+    m_log.write(events::upstreamsChanged, { { "upstreams", m_context.directory.entries().size() }, { "offset", directoryOffset() } });
     configureSlots();
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
@@ -179,16 +175,9 @@
 // Strong nodes rank first: they read and pass on large state for the others.
 int GatewayNode::sourceRankAmong(const std::vector<std::string>& readers) const
 {
-    const auto sortKey = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
-    const auto own = sortKey(peerAddress(), m_options.capacity);
+    const auto own = nodeRankKey(peerAddress(), m_options.capacity);
     return static_cast<int>(std::count_if(readers.begin(), readers.end(),
-        [&](const std::string& reader) { return !m_isSourceReachable || sortKey(reader, m_peers.capacityOf(reader)) < own; }));
-}
-
-bool GatewayNode::isRoutingOutdated() const
-{
-    const auto version = m_context.routing ? m_context.routing->version() : 0;
-    return !m_peers.newestRoutingHolders(version, m_options.dataCentre).empty();
+        [&](const std::string& reader) { return !m_isSourceReachable || nodeRankKey(reader, m_peers.capacityOf(reader)) < own; }));
 }
 
 void GatewayNode::announceChanges(const std::string& changes) { broadcast(StateUpdate { changes }); }
@@ -200,8 +189,8 @@
 
 FullHttpResponse GatewayNode::handlePeerRequest(const FullHttpRequest& request)
 {
-    if (request.target() == statePath || request.target() == routingStatePath)
-        return textResponse(httpstatus::ok, m_stateCallbacks.encodeState(request.target() == statePath));
+    if (request.target() == StateFetcher::statePath || request.target() == StateFetcher::routingStatePath)
+        return textResponse(httpstatus::ok, m_stateCallbacks.encodeState(request.target() == StateFetcher::statePath));
     if (request.target() != metricsPath)
         return textResponse(httpstatus::notFound, "");
     m_metrics.setGauge("routing-version", m_context.routing ? static_cast<double>(m_context.routing->version()) : 0);
@@ -277,14 +266,14 @@
     report.isReady = isReady();
     report.isDraining = m_context.isDraining;
     report.routingVersion = m_context.routing ? m_context.routing->version() : 0;
-    report.directoryOffset = m_directoryOffset;
+    report.directoryOffset = directoryOffset();
     report.loads = m_slots.loads();
     report.suspects = m_slots.suspects();
     report.rollouts = m_rollouts.reports(monotonicNow());
     report.capacity = m_options.capacity;
     report.isDelegate = m_isDelegate;
-    report.liveNodes = m_peers.heardLiveNodeCount();
-    report.knownNodes = m_peers.heardNodeCount();
+    report.liveNodes = m_peers.directLiveNodeCount();
+    report.knownNodes = m_peers.directNodeCount();
     report.isSourceReachable = m_isSourceReachable;
     return report;
 }
@@ -399,80 +388,13 @@
     });
 }
 
-// The directory changes all the time, so the source is unreachable if this node's offset stays the same while peers advance.
-std::optional<GatewayNode::FetchTarget> GatewayNode::chooseFetchTarget()
-{
-    const auto now = monotonicNow();
-    const auto version = m_context.routing ? m_context.routing->version() : 0;
-    const auto holders = m_peers.newestRoutingHolders(version, m_options.dataCentre);
-    m_routingOutdatedSince = holders.empty() ? TimePoint::max() : std::min(m_routingOutdatedSince, now);
-    if (!holders.empty()) {
-        const auto behindFor = std::chrono::duration_cast<Duration>(now - m_routingOutdatedSince);
-        const auto address = fetchPolicy.choosePeer(holders, m_context.routing ? behindFor : fetchPolicy.sourceDelay, m_random);
-        return address ? std::optional<FetchTarget>({ *address, m_context.directory.entries().empty() }) : std::nullopt;
-    }
-    std::string address;
-    if (now - m_directoryOffsetChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryOffset, address))
-        return FetchTarget { address, true };
-    return std::nullopt;
-}
-
-void GatewayNode::setDirectoryOffset(int64_t offset)
-{
-    if (offset != m_directoryOffset)
-        m_directoryOffsetChangedAt = monotonicNow();
-    m_directoryOffset = offset;
-}
-
-// Fetches state from peers that have newer state, so that a few nodes read the source for all.
-Task<void> GatewayNode::fetchPeerState()
-{
-    while (!m_isStopping) {
-        co_await sleepFor(m_context.executor, fetchPolicy.retryInterval);
-        const auto target = chooseFetchTarget();
-        if (target)
-            co_await fetchFrom(*target);
-        const bool isOutdated = m_routingOutdatedSince != TimePoint::max() && isRoutingOutdated();
-        if (!isOutdated || !m_stateCallbacks.confirmRouting)
-            continue;
-        if (fetchPolicy.shouldReadSource(std::chrono::duration_cast<Duration>(monotonicNow() - m_routingOutdatedSince)))
-            co_await m_stateCallbacks.confirmRouting();
-    }
-}
-
-Task<void> GatewayNode::fetchFrom(const FetchTarget& target)
-{
-    const auto endpoint = parseEndpoint(target.address);
-    if (!endpoint)
-        co_return;
-    OutgoingRequest request;
-    HttpFields fields;
-    fields.set("Host", target.address);
-    request.head = formatRequestHead("GET", target.needsDirectory ? statePath : routingStatePath, fields, 0);
-    request.body = std::make_shared<const std::string>();
-    const auto response
-        = co_await m_connectionPool.call(*endpoint, std::move(request), monotonicNow() + fetchPolicy.timeout, maxStateBytes);
-    if (response && response->head.status == httpstatus::serviceUnavailable) {
-        m_metrics.countIncident("state-fetch-refused"); // The peer serves enough copies; another one is asked next.
-        co_return;
-    }
-    if (!response || response->head.status != httpstatus::ok) {
-        m_log.write(events::dependencyLost,
-            { { "dependency", "peer " + target.address },
-                { "reason", response ? "status " + std::to_string(response->head.status) : response.error().message } });
-        co_return;
-    }
-    m_metrics.countIncident("state-fetched");
-    m_log.write(events::stateFetched, { { "from", target.address }, { "bytes", response->body.size() } });
-    m_stateCallbacks.applyState(response->body);
-}
-
 Task<void> GatewayNode::drain()
 {
     m_log.write(events::stopping, { { "running", m_context.activeRequests } });
     m_quotas.returnAllShares();
     co_await m_callerServer->drain();
     m_isStopping = true;
+    m_stateFetcher.stop();
     m_log.write(events::stopped, { { "running", m_context.activeRequests } });
     m_writer.flush();
 }
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -1,10 +1,14 @@
 #include <algorithm>
 #include <base/Hash.h>
 #include <gateway/PeerView.h>
-#include <tuple>
 
 namespace bronzeswitch {
 
+std::tuple<int, uint64_t, std::string> nodeRankKey(const std::string& address, int capacity)
+{
+    return { -capacity, stableHash(address), address };
+}
+
 PeerView::PeerView(PeerTimeouts timeouts, DelegatePolicy delegatePolicy)
     : m_timeouts(timeouts)
     , m_delegatePolicy(delegatePolicy)
@@ -93,12 +97,11 @@
 
 bool PeerView::isDelegate() const
 {
-    const auto sortKey = [](const std::string& address, int capacity) { return std::tuple(-capacity, stableHash(address), address); };
-    const auto own = sortKey(m_own.address, m_own.capacity);
+    const auto own = nodeRankKey(m_own.address, m_own.capacity);
     const auto rank = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
         const auto& [address, peer] = entry;
         const bool isCandidate = peer.isLive && peer.report.isReady && !peer.report.isDraining && isInOwnDataCentre(peer);
-        return isCandidate && sortKey(address, peer.report.capacity) < own;
+        return isCandidate && nodeRankKey(address, peer.report.capacity) < own;
     });
     return m_delegatePolicy.isDelegate(knownNodeCount(), static_cast<int>(rank));
 }
@@ -214,7 +217,7 @@
 
 int PeerView::liveNodeCount() const
 {
-    int count = heardLiveNodeCount();
+    int count = directLiveNodeCount();
     for (const auto& [address, peer] : m_peers) {
         if (peer.isLive)
             count = std::max(count, peer.report.liveNodes);
@@ -222,14 +225,14 @@
     return count;
 }
 
-int PeerView::heardNodeCount() const
+int PeerView::directNodeCount() const
 {
     return 1 + static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.hasReported; }));
 }
 
 int PeerView::knownNodeCount() const
 {
-    int count = heardNodeCount();
+    int count = directNodeCount();
     for (const auto& [address, peer] : m_peers) {
         if (peer.isLive)
             count = std::max(count, peer.report.knownNodes);
--- a/libs/gateway/src/QuotaEnforcer.cpp
+++ b/libs/gateway/src/QuotaEnforcer.cpp
@@ -44,11 +44,10 @@
 
 std::string QuotaEnforcer::homeOf(int group) const { return m_callbacks.homeOf("quota/" + std::to_string(group)); }
 
-Task<QuotaResult> QuotaEnforcer::acquire(std::string organisation, int tokens, QuotaPatience patience, TimePoint deadline)
+Task<QuotaResult> QuotaEnforcer::acquire(std::string organisation, int tokens, QuotaWaits waits, TimePoint deadline)
 {
-    const QuotaRequest request { ++m_lastRequestId, std::move(organisation), tokens, patience.usual.count(),
-        patience.afterTakeover.count() };
-    const auto longestWait = std::max(m_waitLimits.convergenceTimeout, patience.longest()) + m_waitLimits.lastTryGrace;
+    const QuotaRequest request { ++m_lastRequestId, std::move(organisation), tokens, waits.usual.count(), waits.afterTakeover.count() };
+    const auto longestWait = std::max(m_waitLimits.convergenceTimeout, waits.longest()) + m_waitLimits.lastTryGrace;
     const auto lastTry = std::min(deadline, monotonicNow() + longestWait);
     for (;;) {
         auto result = co_await requestTokens(request, lastTry);
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -120,7 +120,7 @@
         co_return std::nullopt;
     const int tokens = m_resolved.metadata.promptTokens ? *m_resolved.metadata.promptTokens + m_resolved.metadata.outputTokens
                                                         : m_resolved.organisation->quota.defaultRequestTokens;
-    m_quotaResult = co_await m_context.quotas.acquire(m_resolved.organisation->name, tokens, quotaPatience(), m_deadline);
+    m_quotaResult = co_await m_context.quotas.acquire(m_resolved.organisation->name, tokens, quotaWaits(), m_deadline);
     m_quotaDecidedAt = monotonicNow();
     if (m_quotaResult->decision.isGranted)
         co_return std::nullopt;
@@ -129,7 +129,7 @@
     co_return problem;
 }
 
-QuotaPatience RequestTask::quotaPatience() const
+QuotaWaits RequestTask::quotaWaits() const
 {
     const auto& route = *m_resolved.route;
     return { route.targetLatency / quotaWaitDivisor, std::min(maxQuotaWaitAfterTakeover, timeLeft(m_deadline) / quotaWaitDivisor) };
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -57,7 +57,7 @@
     /** Takes the request's tokens of its organisation's quota. @return the refusal if there are too few. */
     Task<std::optional<Problem>> acquireQuota();
 
-    QuotaPatience quotaPatience() const;
+    QuotaWaits quotaWaits() const;
     SlotRequest makeSlotRequest();
 
     /** Dispatches the request, again as long as mayRetry() allows. @return true if the caller's connection can be reused. */
--- /dev/null
+++ b/libs/gateway/src/StateFetcher.cpp
@@ -0,0 +1,99 @@
+#include <base/HttpStatus.h>
+#include <gateway/StateFetcher.h>
+
+namespace bronzeswitch {
+
+namespace {
+
+constexpr Duration directoryStaleAfter { 800 }; // Without a change of the directory's offset.
+constexpr std::size_t maxStateBytes = 16UL * 1024 * 1024;
+
+} // namespace
+
+StateFetcher::StateFetcher(GatewayContext& context, const PeerView& peers, std::string dataCentre)
+    : m_context(context)
+    , m_peers(peers)
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+void StateFetcher::setDirectoryOffset(int64_t offset)
+{
+    if (offset != m_directoryOffset)
+        m_directoryOffsetChangedAt = monotonicNow();
+    m_directoryOffset = offset;
+}
+
+std::vector<StateHolder> StateFetcher::newerRoutingHolders() const
+{
+    return m_peers.newestRoutingHolders(m_context.routing ? m_context.routing->version() : 0, m_dataCentre);
+}
+
+Duration StateFetcher::behindFor(TimePoint now) const
+{
+    return m_outdatedSince ? std::chrono::duration_cast<Duration>(now - *m_outdatedSince) : Duration(0);
+}
+
+Task<void> StateFetcher::run(std::function<void(const std::string&)> applyState)
+{
+    m_applyState = std::move(applyState);
+    while (!m_isStopping) {
+        co_await sleepFor(m_context.executor, m_policy.retryInterval);
+        const auto target = chooseTarget();
+        if (target)
+            co_await fetchFrom(*target);
+        const bool shouldReadSource = isRoutingOutdated() && m_policy.shouldReadSource(behindFor(monotonicNow()));
+        if (shouldReadSource && m_context.confirmRouting)
+            co_await m_context.confirmRouting();
+    }
+}
+
+// The directory changes all the time, so the source is unreachable if this node's offset stays the same while peers advance.
+std::optional<StateFetcher::Target> StateFetcher::chooseTarget()
+{
+    const auto now = monotonicNow();
+    const auto holders = newerRoutingHolders();
+    if (holders.empty())
+        m_outdatedSince.reset();
+    else if (!m_outdatedSince)
+        m_outdatedSince = now;
+    if (!holders.empty()) {
+        // A node without any routing can't wait for a peer in its data centre.
+        const auto waited = m_context.routing ? behindFor(now) : m_policy.ownDataCentreOnly;
+        const auto address = m_policy.choosePeer(holders, waited, m_random);
+        return address ? std::optional<Target>({ *address, m_context.directory.entries().empty() }) : std::nullopt;
+    }
+    std::string address;
+    if (now - m_directoryOffsetChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryOffset, address))
+        return Target { address, true };
+    return std::nullopt;
+}
+
+Task<void> StateFetcher::fetchFrom(const Target& target)
+{
+    const auto endpoint = parseEndpoint(target.address);
+    if (!endpoint)
+        co_return;
+    OutgoingRequest request;
+    HttpFields fields;
+    fields.set("Host", target.address);
+    request.head = formatRequestHead("GET", target.needsDirectory ? statePath : routingStatePath, fields, 0);
+    request.body = std::make_shared<const std::string>();
+    const auto response
+        = co_await m_context.connectionPool.call(*endpoint, std::move(request), monotonicNow() + m_policy.timeout, maxStateBytes);
+    if (response && response->head.status == httpstatus::serviceUnavailable) {
+        m_context.metrics.countIncident("state-fetch-refused"); // The peer serves enough copies; another one is chosen next.
+        co_return;
+    }
+    if (!response || response->head.status != httpstatus::ok) {
+        m_context.log.write(events::dependencyLost,
+            { { "dependency", "peer " + target.address },
+                { "reason", response ? "status " + std::to_string(response->head.status) : response.error().message } });
+        co_return;
+    }
+    m_context.metrics.countIncident("state-fetched");
+    m_context.log.write(events::stateFetched, { { "from", target.address }, { "bytes", response->body.size() } });
+    m_applyState(response->body);
+}
+
+} // namespace bronzeswitch
--- a/libs/gateway/tests/PeerViewTests.cpp
+++ b/libs/gateway/tests/PeerViewTests.cpp
@@ -122,8 +122,8 @@
         report.isReady = true;
         report.capacity = node.own.capacity;
         report.isDelegate = node.view.isDelegate();
-        report.liveNodes = node.view.heardLiveNodeCount();
-        report.knownNodes = node.view.heardNodeCount();
+        report.liveNodes = node.view.directLiveNodeCount();
+        report.knownNodes = node.view.directNodeCount();
         return report;
     }
 
