--- a/libs/gateway/tests/PeerViewTests.cpp
+++ b/libs/gateway/tests/PeerViewTests.cpp
@@ -219,10 +219,11 @@
         constexpr Duration untilForgotten { 36000 }; // Addresses that were named only once, before the delegates were known.
         fleet.play(untilForgotten);
         const auto nodes = static_cast<std::size_t>(size.nodes);
-        const auto delegates = static_cast<std::size_t>(3 * size.dataCentres);
-        const auto perNode = nodes / static_cast<std::size_t>(size.dataCentres) + 1 + delegates;
+        const auto dataCentres = static_cast<std::size_t>(size.dataCentres);
+        const auto delegates = 3 * dataCentres;
+        const auto perNode = nodes / dataCentres + 1 + delegates;
         CHECK(fleet.reports() <= nodes * perNode + delegates * nodes);
-        CHECK(fleet.bytesBetweenDataCentres() <= 150 * 2 * delegates * nodes);
+        CHECK(fleet.bytesBetweenDataCentres() <= 300 * delegates * nodes);
     }
 }
 
--- a/libs/gateway/tests/StateFetchTests.cpp
+++ b/libs/gateway/tests/StateFetchTests.cpp
@@ -61,7 +61,7 @@
 
     double linkOf(std::size_t index) const
     {
-        const bool isStrong = index < static_cast<std::size_t>(strongNodesPerDataCentre * m_dataCentres);
+        const bool isStrong = static_cast<int>(index) < strongNodesPerDataCentre * m_dataCentres;
         return isStrong ? strongLinkBytesPerMs : weakLinkBytesPerMs;
     }
 
