--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -57,10 +57,10 @@
 inline constexpr Event homeTaken { 310, "home-taken", EventLevel::Info, "This node is the home of a pool or of a group of quotas now." };
 inline constexpr Event homeLeft { 311, "home-left", EventLevel::Info,
     "This node is no longer the home of a pool or of a group of quotas." };
-inline constexpr Event upstreamUnreachable { 400, "upstream-unreachable", EventLevel::Warning,
-    "An upstream refused a connection; nothing was sent." };
 inline constexpr Event upstreamsSuspected { 322, "upstreams-suspected", EventLevel::Info,
     "The set of upstreams that get hardly any requests, because they fail many of them, has changed." };
+inline constexpr Event upstreamUnreachable { 400, "upstream-unreachable", EventLevel::Warning,
+    "An upstream refused a connection; nothing was sent." };
 inline constexpr Event answerDropped { 401, "answer-dropped", EventLevel::Warning,
     "An upstream's answer named another request and was dropped." };
 inline constexpr Event streamResumed { 402, "stream-resumed", EventLevel::Info,
