Log the shared parts of the prompt of a dispatch that brought no answer

Needed for the incident of crashing prompts: the log named the upstream and the size of a lost request, so it could not tell a part that crashes engines from crashes by load.

--- a/libs/gateway/include/gateway/HeaderCodec.h
+++ b/libs/gateway/include/gateway/HeaderCodec.h
@@ -20,6 +20,7 @@
     int outputTokens = 0; /**< Upper bound for the tokens of the response. */
     std::optional<int> expectedTokens; /**< The caller's estimate of the response's tokens. */
     std::vector<PromptPrefix> prefixes; /**< Growing prefixes of the prompt, shortest first. */
+    std::vector<std::string> sharedParts; /**< Identifiers of the prompt's parts, in order, without the last, which no other prompt has. */
     std::optional<int64_t> lastEventId; /**< Last event of the stream that the caller has received. */
 
     bool operator==(const RequestMetadata&) const = default;
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -577,6 +577,8 @@
         m_context.log.write(events::callerLeft, std::move(fields));
         return;
     }
+    if (!m_resolved.metadata.sharedParts.empty())
+        fields["sharedParts"] = m_resolved.metadata.sharedParts;
     fields["problem"] = current.failure;
     fields["mayHaveRun"] = outcome != Outcome::NotRun;
     m_context.metrics.countIncident("dispatch-unsuccessful");
