Keep prompts from engines that crash under one of their parts

Cause: nothing remembered what had been running when an upstream crashed. A request that ends its upstream was sent to the next one by its node, by its caller's retry and with every new request of its kind.

Evidence: with the parts in the log, the lost requests of every crash share one part that no answered request has. Retries alone are ruled out, the requests have 11 sizes; so is load, engines were far from full.

Change: PromptQuarantine. Nodes report the parts of requests that were lost before their answer began, unless they have seen them answered; three crashes under a part make it suspect; a peer that has seen an answer clears it; else requests with it are refused (503, not run) at every node for 60 s, longer after each further crash. Why this works: each engine that begins to answer the part crashes, so one answer anywhere clears a part, and sound parts are answered all the time. Parts that were always lost together are told apart by answers, so the organisation's usual beginning is not refused.

Tests: PromptQuarantineTests replay the load at 3 to 195 nodes, and 27 of 90 engines that crash at once for another reason. PromptTests with real nodes failed before: 502 instead of 503, and four runs more after the quarantine should have begun.

--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include <gateway/DecisionLog.h>
 #include <gateway/HeaderCodec.h>
+#include <gateway/PromptGuard.h>
 #include <gateway/QuotaEnforcer.h>
 #include <gateway/RetryBudget.h>
 #include <gateway/RolloutController.h>
@@ -53,6 +54,7 @@
     SlotAllocator& slots;
     RolloutController& rollouts;
     QuotaEnforcer& quotas;
+    PromptGuard& prompts;
     RoutingTablePointer routing;
     UpstreamDirectory directory;
     std::map<std::string, RetryBudget> retryBudgets; /**< By service. */
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -156,6 +156,7 @@
     SlotAllocator m_slots;
     RolloutController m_rollouts;
     QuotaEnforcer m_quotas;
+    PromptGuard m_prompts;
     GatewayContext m_context;
     PeerView m_peers;
     StateFetcher m_stateFetcher;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -38,6 +38,8 @@
     comparable.sequence = last.sequence;
     for (std::size_t index = 0; index < std::min(comparable.rollouts.size(), last.rollouts.size()); ++index)
         comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
+    for (std::size_t index = 0; index < std::min(comparable.quarantines.size(), last.quarantines.size()); ++index)
+        comparable.quarantines[index].remainingMs = last.quarantines[index].remainingMs;
     return comparable != last;
 }
 
@@ -60,8 +62,9 @@
     , m_slots(loop.get_executor(), m_options.dataCentre, m_log)
     , m_rollouts(m_options.bounds.exposure, m_log)
     , m_quotas(loop.get_executor(), m_options.bounds.quotas, m_log)
+    , m_prompts(m_log)
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(headerCodec), m_log, m_metrics, m_connectionPool,
-        m_slots, m_rollouts, m_quotas, nullptr, {}, {}, [this] { return m_peers.knownNodeCount(); } }
+        m_slots, m_rollouts, m_quotas, m_prompts, nullptr, {}, {}, [this] { return m_peers.knownNodeCount(); } }
     , m_peers(PeerTimeouts {})
     , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
     , m_incarnation(unixMilliseconds())
@@ -123,6 +126,8 @@
             [this](const std::string& address, const Message& message) { send(address, message); },
             [this] { return m_peers.knownNodeCount(); }, [this] { return m_peers.liveNodeCount(); },
             [this](const std::string& address) { return m_peers.isSilent(address, monotonicNow()); } });
+    m_prompts.connect({ [this](const Message& message) { broadcast(message); },
+        [this](const std::string& address, const Message& message) { send(address, message); }, [this] { reportNow(); } });
     const auto onFailure = [this](const std::string& reason) {
         m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } });
     };
@@ -198,6 +203,7 @@
     m_metrics.setGauge("members", m_peers.liveNodeCount());
     m_metrics.setGauge("waiting", static_cast<double>(m_slots.waiting()));
     m_metrics.setGauge("running", static_cast<double>(m_slots.running()));
+    m_metrics.setGauge("quarantines", static_cast<double>(m_prompts.entries().size()));
     m_metrics.setGauge("log-lines-dropped", static_cast<double>(m_log.dropped()));
     return textResponse(httpstatus::ok, m_metrics.text());
 }
@@ -216,7 +222,7 @@
     }
     const auto* report = std::get_if<NodeReport>(&*message);
     if (!report) {
-        if (!m_quotas.onMessage(sender, *message))
+        if (!m_quotas.onMessage(sender, *message) && !m_prompts.onMessage(sender, *message))
             m_slots.onMessage(sender, *message);
         return;
     }
@@ -228,6 +234,7 @@
     }
     m_rollouts.setPeerReports(sender, report->incarnation, report->rollouts, monotonicNow());
     m_slots.setPeerSuspects(sender, report->suspects);
+    m_prompts.onPeerEntries(sender, report->quarantines);
     if (report->hasLoads)
         m_slots.setPeerLoads(sender, report->loads);
 }
@@ -275,6 +282,7 @@
     report.liveNodes = m_peers.directLiveNodeCount();
     report.knownNodes = m_peers.directNodeCount();
     report.isSourceReachable = m_isSourceReachable;
+    report.quarantines = m_prompts.entries();
     return report;
 }
 
@@ -347,6 +355,7 @@
         advanceRollouts(now);
         m_slots.tick();
         m_quotas.tick();
+        m_prompts.tick();
         m_writer.flush();
         if (now < nextSweep)
             continue;
--- /dev/null
+++ b/libs/gateway/src/PromptGuard.cpp
@@ -0,0 +1,112 @@
+#include <algorithm>
+#include <gateway/PromptGuard.h>
+#include <net/Async.h>
+
+namespace bronzeswitch {
+
+namespace {
+
+constexpr int maxLossReportsPerSecond = 20; // A data centre may lose all of its engines at once; a few losses suffice.
+
+nlohmann::json describe(const std::vector<QuarantineEntry>& entries)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& entry : entries)
+        list.push_back({ { "parts", entry.parts }, { "generation", entry.generation }, { "remainingMs", entry.remainingMs } });
+    return list;
+}
+
+} // namespace
+
+PromptGuard::PromptGuard(DecisionLog& log)
+    : m_log(log)
+{
+}
+
+void PromptGuard::connect(Callbacks callbacks) { m_callbacks = std::move(callbacks); }
+
+std::optional<Duration> PromptGuard::remaining(const std::vector<std::string>& parts) const
+{
+    return m_quarantine.remaining(parts, monotonicNow());
+}
+
+bool PromptGuard::isSuspect(const std::vector<std::string>& parts) const { return m_quarantine.isSuspect(parts, monotonicNow()); }
+
+std::vector<QuarantineEntry> PromptGuard::entries() const { return m_quarantine.entries(monotonicNow()); }
+
+void PromptGuard::onAnswered(const std::vector<std::string>& parts)
+{
+    if (parts.empty())
+        return;
+    const auto before = m_quarantine.changes();
+    m_quarantine.onAnswered(parts, monotonicNow());
+    if (m_quarantine.changes() == before)
+        return;
+    m_callbacks.broadcast(PromptPartsAnswered { parts });
+    noteChanges("answered");
+}
+
+void PromptGuard::onLost(const std::string& upstream, const std::vector<std::string>& parts)
+{
+    const auto now = monotonicNow();
+    auto suspects = m_quarantine.onLost(upstream, parts, now);
+    if (!suspects.empty() && mayReportLoss(now))
+        m_callbacks.broadcast(PromptLoss { upstream, std::move(suspects) });
+}
+
+bool PromptGuard::mayReportLoss(TimePoint now)
+{
+    if (now - m_lossSecond >= std::chrono::seconds(1)) {
+        m_lossSecond = now;
+        m_lossesInSecond = 0;
+    }
+    return ++m_lossesInSecond <= maxLossReportsPerSecond;
+}
+
+bool PromptGuard::onMessage(const std::string& from, const Message& message)
+{
+    if (const auto* loss = std::get_if<PromptLoss>(&message)) {
+        m_quarantine.onLost(loss->upstream, loss->parts, monotonicNow());
+        return true;
+    }
+    if (const auto* query = std::get_if<PromptPartsQuery>(&message)) {
+        if (const auto answered = m_quarantine.answeredAmong(query->parts); !answered.empty())
+            m_callbacks.send(from, PromptPartsAnswered { answered });
+        return true;
+    }
+    if (const auto* answered = std::get_if<PromptPartsAnswered>(&message)) {
+        m_quarantine.onPeerAnswered(answered->parts);
+        noteChanges(from);
+        return true;
+    }
+    return false;
+}
+
+void PromptGuard::onPeerEntries(const std::string& from, const std::vector<QuarantineEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        m_quarantine.adopt(entry, monotonicNow());
+        if (const auto answered = m_quarantine.answeredAmong(entry.parts); !answered.empty())
+            m_callbacks.send(from, PromptPartsAnswered { answered });
+    }
+    noteChanges(from);
+}
+
+void PromptGuard::tick()
+{
+    const auto questions = m_quarantine.tick(monotonicNow());
+    if (!questions.empty())
+        m_callbacks.broadcast(PromptPartsQuery { questions });
+    noteChanges("own evidence");
+}
+
+void PromptGuard::noteChanges(const std::string& source)
+{
+    if (m_quarantine.changes() == m_notedChanges)
+        return;
+    m_notedChanges = m_quarantine.changes();
+    m_log.write(events::promptsQuarantined, { { "quarantines", describe(entries()) }, { "source", source } });
+    m_callbacks.onChange();
+}
+
+} // namespace bronzeswitch
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -23,6 +23,7 @@
 constexpr Duration maxQuotaWaitAfterTakeover { 1500 };
 constexpr Duration routingRetryAfter { 500 };
 constexpr uint64_t retrySpreadMs = 400; // Keeps the callers that an upstream rejected at one moment from returning together.
+constexpr int64_t eventsOfAnswer = 2; // An upstream that crashes with its first event may have sent it.
 constexpr int plainStartTimeoutFactor = 2; // Of the target latency; a plain request that waits longer for a slot is refused.
 
 double toMs(TimePoint::duration duration) { return toSeconds(duration) * millisecondsPerSecond; }
@@ -70,6 +71,8 @@
     if (!problem)
         setDeadlines();
     m_caller.watchDisconnect([this] { onCallerDisconnect(); });
+    if (!problem)
+        problem = checkPrompt();
     if (!problem)
         problem = co_await acquireQuota();
     if (m_hasCallerDisconnected) {
@@ -114,6 +117,15 @@
         m_context.slots.cancel(m_slotRequestId);
 }
 
+std::optional<Problem> RequestTask::checkPrompt() const
+{
+    const auto remaining = m_context.prompts.remaining(m_resolved.metadata.sharedParts);
+    if (!remaining)
+        return std::nullopt;
+    return notRunProblem(
+        httpstatus::serviceUnavailable, "prompt-quarantined", "requests with a part of this prompt crash their upstreams", *remaining);
+}
+
 Task<std::optional<Problem>> RequestTask::acquireQuota()
 {
     if (!m_resolved.organisation || !m_resolved.organisation->quota.isLimited())
@@ -186,8 +198,13 @@
         }
         Dispatch current;
         current.grant = *grant;
+        if (checkPrompt()) {
+            releaseSlot(current, Outcome::CallerDisconnected);
+            co_return co_await respondToFailure(worstOutcome);
+        }
         const auto outcome = co_await dispatch(current);
         releaseSlot(current, outcome);
+        reportPromptResult(current, outcome);
         logDispatch(current, outcome);
         if (outcome == Outcome::Completed)
             co_return isKeepAlive();
@@ -217,6 +234,8 @@
         return false;
     if (outcome != Outcome::NotRun && !isSafeToRunAgain())
         return false;
+    if (current.isLost && m_context.prompts.isSuspect(m_resolved.metadata.sharedParts))
+        return false;
     return m_context.retryBudgetFor(m_service).take(m_context.nodeCount(), monotonicNow());
 }
 
@@ -306,6 +325,7 @@
 RequestTask::Outcome RequestTask::recordFailure(Dispatch& current, const Error& error) const
 {
     current.failure = error.message;
+    current.isLost = error.code == ErrorCode::Unavailable;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
 }
 
@@ -404,9 +424,12 @@
         }
         if (!current.eventCount && m_stream.eventCount() > before)
             current.firstByteAt = monotonicNow();
+        const auto eventCountBefore = current.eventCount;
         current.eventCount += m_stream.eventCount() - before;
+        onFirstEvents(current, eventCountBefore);
         if (!*more && !m_stream.isAtEventBoundary()) {
             current.failure = "the stream ended inside an event";
+            current.isLost = true;
             co_return Outcome::MayHaveRun;
         }
         std::string text;
@@ -429,6 +452,20 @@
     }
 }
 
+void RequestTask::onFirstEvents(const Dispatch& current, int64_t eventCountBefore)
+{
+    if (eventCountBefore < eventsOfAnswer && current.eventCount >= eventsOfAnswer)
+        m_context.prompts.onAnswered(m_resolved.metadata.sharedParts);
+}
+
+void RequestTask::reportPromptResult(const Dispatch& current, Outcome outcome)
+{
+    if (outcome == Outcome::Completed)
+        m_context.prompts.onAnswered(m_resolved.metadata.sharedParts);
+    else if (current.isLost && current.eventCount < eventsOfAnswer)
+        m_context.prompts.onLost(current.upstream.id, m_resolved.metadata.sharedParts);
+}
+
 void RequestTask::releaseSlot(const Dispatch& current, Outcome outcome)
 {
     SlotRelease slotRelease;
@@ -489,16 +526,7 @@
         m_context.metrics.countRequest(m_resolved.route->rank, "failed");
         co_return co_await sendResponse(m_failureResponse->head, m_failureResponse->body) && isKeepAlive();
     }
-    const bool isLate = monotonicNow() >= m_deadline;
-    Problem problem;
-    if (worstOutcome == Outcome::NotRun) {
-        const Duration spread(static_cast<int64_t>(stableHash(m_context.node, m_slotRequestId) % retrySpreadMs));
-        const Duration wait = m_refusal ? Duration(m_refusal->retryAfterMs) : spread;
-        problem = notRunProblem(httpstatus::serviceUnavailable, m_refusal ? toString(m_refusal->reason) : "upstreams-unavailable",
-            "no upstream could take the request", m_refusal ? std::max(wait, minRetryAfter) : minRetryAfter + wait);
-    } else
-        problem = { isLate ? httpstatus::gatewayTimeout : httpstatus::badGateway, isLate ? "timeout" : "upstream-failed",
-            Execution::Unknown, "the upstream's answer is missing or incomplete", std::nullopt };
+    const auto problem = problemAfter(worstOutcome);
     auto fields = describe();
     fields["reason"] = problem.reason;
     fields["status"] = problem.status;
@@ -507,6 +535,21 @@
     co_return co_await sendProblem(problem);
 }
 
+Problem RequestTask::problemAfter(Outcome worstOutcome) const
+{
+    if (worstOutcome != Outcome::NotRun) {
+        const bool isLate = monotonicNow() >= m_deadline;
+        return { isLate ? httpstatus::gatewayTimeout : httpstatus::badGateway, isLate ? "timeout" : "upstream-failed", Execution::Unknown,
+            "the upstream's answer is missing or incomplete", std::nullopt };
+    }
+    if (auto problem = checkPrompt())
+        return *problem;
+    const Duration spread(static_cast<int64_t>(stableHash(m_context.node, m_slotRequestId) % retrySpreadMs));
+    const Duration wait = m_refusal ? Duration(m_refusal->retryAfterMs) : spread;
+    return notRunProblem(httpstatus::serviceUnavailable, m_refusal ? toString(m_refusal->reason) : "upstreams-unavailable",
+        "no upstream could take the request", m_refusal ? std::max(wait, minRetryAfter) : minRetryAfter + wait);
+}
+
 Task<bool> RequestTask::sendProblem(const Problem& problem)
 {
     ResponseHead head { problem.status, "", {} };
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -47,6 +47,7 @@
         int64_t eventCount = 0; /**< Events of a stream that this upstream has sent. */
         bool wasSent = false; /**< The request may have reached the upstream. */
         std::string failure; /**< Why there is no usable response, for the decision log. */
+        bool isLost = false; /**< The upstream broke the connection off. */
     };
 
     void setDeadlines();
@@ -57,6 +58,9 @@
     /** Takes the request's tokens of its organisation's quota. @return the refusal if there are too few. */
     Task<std::optional<Problem>> acquireQuota();
 
+    /** @return a refusal if the prompt has parts that crash upstreams. */
+    std::optional<Problem> checkPrompt() const;
+
     QuotaWaits quotaWaits() const;
     SlotRequest makeSlotRequest();
 
@@ -75,7 +79,11 @@
     Task<Outcome> forwardStream(Dispatch&, UpstreamConnection&, const ResponseHead&);
     Task<bool> beginStream(const ResponseHead&);
     Outcome recordFailure(Dispatch&, const Error&) const;
+    void onFirstEvents(const Dispatch&, int64_t eventCountBefore);
     void releaseSlot(const Dispatch&, Outcome);
+    /** Records what a dispatch shows about the parts of the prompt. */
+    void reportPromptResult(const Dispatch&, Outcome);
+
     void reportVersionResult(const Dispatch&, Outcome, double betweenTokensMs);
 
     /** Decides on a retry and takes it out of the service's retry budget. */
@@ -92,6 +100,9 @@
      */
     Task<bool> respondToFailure(Outcome);
 
+    /** @return what the caller gets if there is no upstream's response to pass on. */
+    Problem problemAfter(Outcome worstOutcome) const;
+
     Task<bool> sendProblem(const Problem&);
     Task<bool> sendResponse(const ResponseHead&, const std::string& body);
     void onCallerDisconnect();
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -263,6 +263,15 @@
     bool operator==(const NamedPeer&) const = default;
 };
 
+/** Parts of prompts that are in quarantine: for some time no upstream gets a request whose prompt has all of them. */
+struct QuarantineEntry {
+    std::vector<std::string> parts; /**< In ascending order. */
+    int generation = 1; /**< How often they have been put in quarantine, this time included. */
+    int64_t remainingMs = 0; /**< Time until it ends. */
+
+    bool operator==(const QuarantineEntry&) const = default;
+};
+
 /** A node's current state. Sent to its peers periodically, so that a lost report does no harm. */
 struct NodeReport {
     std::string node;
@@ -283,6 +292,7 @@
     int liveNodes = 0; /**< Nodes that are live to the sender, including itself. */
     int knownNodes = 0; /**< Nodes that the sender has heard of itself recently, including itself. */
     bool isSourceReachable = true; /**< False if the sender has recently failed to reach the source of routing and directory. */
+    std::vector<QuarantineEntry> quarantines; /**< Those in force at the sender. */
 
     bool operator==(const NodeReport&) const = default;
 };
@@ -332,6 +342,28 @@
     bool operator==(const QuotaShareReturn&) const = default;
 };
 
+/** Reports a request that was lost together with its upstream before the upstream had answered it. */
+struct PromptLoss {
+    std::string upstream;
+    std::vector<std::string> parts; /**< Parts of its prompt of which the sender has seen no recent answer. */
+
+    bool operator==(const PromptLoss&) const = default;
+};
+
+/** Requests a PromptPartsAnswered from a peer that has recently seen an answer to a request with one of these parts. */
+struct PromptPartsQuery {
+    std::vector<std::string> parts;
+
+    bool operator==(const PromptPartsQuery&) const = default;
+};
+
+/** States that upstreams have recently answered requests with these parts of prompts. */
+struct PromptPartsAnswered {
+    std::vector<std::string> parts;
+
+    bool operator==(const PromptPartsAnswered&) const = default;
+};
+
 /** Stops a rollout's candidate version immediately on every node; the durable rollback follows through the log. */
 struct RolloutAlarm {
     std::string rollout;
@@ -341,9 +373,10 @@
 };
 
 /** Any message between nodes. The index of its type is its type number on the wire, so new types are added at the end. */
-using Message = std::variant<Hello, Heartbeat, HeartbeatAck, StateRequest, StateOffer, SlotRequest, SlotGrant, SlotRefusal, SlotCancel,
-    SlotRelease, SlotInUse, ClaimRequest, ClaimResponse, ClaimOutcome, RolloutAlarm, ClaimDeclaration, ClaimDeclarationAck, NodeReport,
-    SlotQueued, StateUpdate, QuotaRequest, QuotaResponse, QuotaShareLoan, QuotaShareReturn>;
+using Message
+    = std::variant<Hello, Heartbeat, HeartbeatAck, StateRequest, StateOffer, SlotRequest, SlotGrant, SlotRefusal, SlotCancel, SlotRelease,
+        SlotInUse, ClaimRequest, ClaimResponse, ClaimOutcome, RolloutAlarm, ClaimDeclaration, ClaimDeclarationAck, NodeReport, SlotQueued,
+        StateUpdate, QuotaRequest, QuotaResponse, QuotaShareLoan, QuotaShareReturn, PromptLoss, PromptPartsQuery, PromptPartsAnswered>;
 
 /** @return the message as a CBOR array of its type number and its fields. */
 std::string encode(const Message&);
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -56,7 +56,14 @@
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
             message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.suspects, message.peers,
-            message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable);
+            message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable,
+            message.quarantines);
+    else if constexpr (std::is_same_v<Type, QuarantineEntry>)
+        return std::tie(message.parts, message.generation, message.remainingMs);
+    else if constexpr (std::is_same_v<Type, PromptLoss>)
+        return std::tie(message.upstream, message.parts);
+    else if constexpr (std::is_same_v<Type, PromptPartsQuery> || std::is_same_v<Type, PromptPartsAnswered>)
+        return std::tie(message.parts);
     else if constexpr (std::is_same_v<Type, NamedPeer>)
         return std::tie(message.address, message.dataCentre, message.isDelegate);
     else if constexpr (std::is_same_v<Type, VersionTally>)
@@ -82,7 +89,8 @@
 
 template <typename Field>
 concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
-    NamedPeer> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field, RolloutReport>;
+    NamedPeer> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field,
+    RolloutReport> || std::is_same_v<Field, QuarantineEntry>;
 
 template <typename Field> struct IsList : std::false_type {
 };
--- a/libs/server/src/Node.cpp
+++ b/libs/server/src/Node.cpp
@@ -236,6 +236,9 @@
         void operator()(const QuotaResponse&) const { }
         void operator()(const QuotaShareLoan&) const { }
         void operator()(const QuotaShareReturn&) const { }
+        void operator()(const PromptLoss&) const { }
+        void operator()(const PromptPartsQuery&) const { }
+        void operator()(const PromptPartsAnswered&) const { }
         void operator()(const StateRequest&) const { node.sendState(from); }
         void operator()(const StateOffer& message) const { node.adoptState(message); }
         // Handled by the mesh itself.
