Take a stream without a length that ends before its first event for broken off

An engine may end a response, a stream too, with its connection. A stream whose engine went away between the head and the first event was passed on as a complete, empty one, and was neither sent to another engine nor counted as lost.

Cause: a response without a length ends where the connection ends, and no byte of an event was pending. The other cases of such responses were right before: a whole body, a reset inside it, a whole stream, an end inside an event.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -427,8 +427,9 @@
         const auto eventCountBefore = current.eventCount;
         current.eventCount += m_stream.eventCount() - before;
         onFirstEvents(current, eventCountBefore);
-        if (!*more && !m_stream.isAtEventBoundary()) {
-            current.failure = "the stream ended inside an event";
+        const bool isEmpty = current.eventCount == 0 && connection.endsWithConnection();
+        if (!*more && (isEmpty || !m_stream.isAtEventBoundary())) {
+            current.failure = isEmpty ? "the stream ended before its first event" : "the stream ended inside an event";
             current.isLost = true;
             co_return Outcome::MayHaveRun;
         }
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -57,6 +57,9 @@
     /** Closes the connection at once. A waiting task gets Cancelled. */
     void abort();
 
+    /** @return true if the current response states no length, so that the end of the connection is the end of its body. */
+    bool endsWithConnection() const { return m_parser && m_parser->need_eof(); }
+
     /** @return true if the connection can carry another request. */
     bool isReusable() const;
 
