Record the quarantines of parts of prompts in the store

Cause: the quarantines were held by the nodes alone, and none of them outlives the loss of all.

One node (by rendezvous, among delegates that reach the store) writes the list under one key when it has changed, on the condition that the topic has not grown since it was read; each node reads it once after its start. A store that is away costs nothing but that: peers' reports and new evidence go on.

--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -99,6 +99,10 @@
     Metrics& metrics() { return m_metrics; }
     HttpConnectionPool& connectionPool() { return m_connectionPool; }
     RolloutController& rollouts() { return m_rollouts; }
+    PromptGuard& prompts() { return m_prompts; }
+
+    /** @return true if this node should write the quarantines of parts of prompts to durable storage now. */
+    bool isQuarantineRecordDue() const;
 
     /** @return the states of rollouts that should be written to durable storage now. */
     std::vector<RolloutStatus> dueRolloutRecords() const;
--- a/libs/gateway/include/gateway/PromptGuard.h
+++ b/libs/gateway/include/gateway/PromptGuard.h
@@ -5,6 +5,7 @@
 #include <sched/PromptQuarantine.h>
 
 #include <functional>
+#include <map>
 
 namespace bronzeswitch {
 
@@ -48,6 +49,12 @@
     /** Processes the quarantines in force at a peer. */
     void onPeerEntries(const std::string& from, const std::vector<QuarantineEntry>&);
 
+    /** Processes the durable record of the quarantines, which this node has read or written. */
+    void onRecord(const std::vector<QuarantineEntry>&);
+
+    /** @return true if the quarantines in force differ from the durable record in more than their remaining times. */
+    bool differsFromRecord() const;
+
     /** @return the quarantines in force, for this node's reports. */
     std::vector<QuarantineEntry> entries() const;
 
@@ -61,6 +68,7 @@
     DecisionLog& m_log;
     Callbacks m_callbacks;
     PromptQuarantine m_quarantine;
+    std::map<std::vector<std::string>, int> m_recorded; /**< Generations of the recorded quarantines, by their parts. */
     uint64_t m_notedChanges = 0; /**< Of the quarantines, as logged last. */
     TimePoint m_lossSecond {}; /**< Start of the second in which the reported losses are counted. */
     int m_lossesInSecond = 0;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -381,6 +381,16 @@
     return m_rollouts.dueRecords(monotonicNow(), [this](const std::string& service) { return isRolloutLeader(service); });
 }
 
+bool GatewayNode::isQuarantineRecordDue() const
+{
+    if (!m_isSourceReachable || !m_prompts.differsFromRecord())
+        return false;
+    const auto reaching = m_peers.peersReachingSource();
+    auto writers = m_peers.responsivePeers();
+    std::erase_if(writers, [&](const std::string& peer) { return std::find(reaching.begin(), reaching.end(), peer) == reaching.end(); });
+    return homeOf("pool/quarantine", std::move(writers)) == peerAddress();
+}
+
 bool GatewayNode::isRolloutLeader(const std::string& service) const
 {
     return homeOf("pool/rollout/" + service, m_peers.responsivePeers()) == peerAddress();
--- a/libs/gateway/src/PromptGuard.cpp
+++ b/libs/gateway/src/PromptGuard.cpp
@@ -16,6 +16,14 @@
     return list;
 }
 
+std::map<std::vector<std::string>, int> generations(const std::vector<QuarantineEntry>& entries)
+{
+    std::map<std::vector<std::string>, int> result;
+    for (const auto& entry : entries)
+        result[entry.parts] = entry.generation;
+    return result;
+}
+
 } // namespace
 
 PromptGuard::PromptGuard(DecisionLog& log)
@@ -92,6 +100,16 @@
     noteChanges(from);
 }
 
+void PromptGuard::onRecord(const std::vector<QuarantineEntry>& entries)
+{
+    m_recorded = generations(entries);
+    for (const auto& entry : entries)
+        m_quarantine.adopt(entry, monotonicNow());
+    noteChanges("record");
+}
+
+bool PromptGuard::differsFromRecord() const { return generations(entries()) != m_recorded; }
+
 void PromptGuard::tick()
 {
     const auto questions = m_quarantine.tick(monotonicNow());
