Don't take a sound part for the cause after one crash, and log a quarantine's end

What callers would have seen: an organisation's usual beginning, refused for a minute. Parts that were always lost together are in quarantine together until an answer tells them apart. Each of them counted as having been in quarantine, so one more crash for any reason made the sound one suspect by itself, and with no answer to the organisation in the last half minute it was refused.

Cause: one crash is enough after an earlier quarantine, and that was looked up by part. Now it is looked up by the parts that were lost together: the earlier quarantine must be among them.

Test: a sound part that is in quarantine only together with another one is not refused by itself after a crash (failed before).

--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -148,6 +148,7 @@
     void broadcast(const Message&);
     void configureSlots();
     void advanceRollouts(TimePoint now);
+    void onQuarantineChange();
     bool isRolloutLeader(const std::string& service) const;
     bool isStableVersionIdle(const std::string& service) const;
     void startBackgroundTask(const char* name, Task<void>);
--- a/libs/gateway/include/gateway/PromptGuard.h
+++ b/libs/gateway/include/gateway/PromptGuard.h
@@ -63,13 +63,18 @@
 
 private:
     bool mayReportLoss(TimePoint now);
+    using Generations = std::map<std::vector<std::string>, int>; /**< Of quarantines, by their parts. */
+
+    static Generations generationsOf(const std::vector<QuarantineEntry>&);
+
+    /** Logs and reports the quarantines in force if they have changed. */
     void noteChanges(const std::string& source);
 
     DecisionLog& m_log;
     Callbacks m_callbacks;
     PromptQuarantine m_quarantine;
-    std::map<std::vector<std::string>, int> m_recorded; /**< Generations of the recorded quarantines, by their parts. */
-    uint64_t m_notedChanges = 0; /**< Of the quarantines, as logged last. */
+    Generations m_recorded; /**< As in the durable record. */
+    Generations m_noted; /**< As logged last. */
     TimePoint m_lossSecond {}; /**< Start of the second in which the reported losses are counted. */
     int m_lossesInSecond = 0;
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -127,7 +127,7 @@
             [this] { return m_peers.knownNodeCount(); }, [this] { return m_peers.liveNodeCount(); },
             [this](const std::string& address) { return m_peers.isSilent(address, monotonicNow()); } });
     m_prompts.connect({ [this](const Message& message) { broadcast(message); },
-        [this](const std::string& address, const Message& message) { send(address, message); }, [this] { reportNow(); } });
+        [this](const std::string& address, const Message& message) { send(address, message); }, [this] { onQuarantineChange(); } });
     const auto onFailure = [this](const std::string& reason) {
         m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } });
     };
@@ -381,6 +381,13 @@
     return m_rollouts.dueRecords(monotonicNow(), [this](const std::string& service) { return isRolloutLeader(service); });
 }
 
+// The delegates' reports reach all nodes.
+void GatewayNode::onQuarantineChange()
+{
+    if (m_isDelegate)
+        reportNow();
+}
+
 bool GatewayNode::isQuarantineRecordDue() const
 {
     if (!m_isSourceReachable || !m_prompts.differsFromRecord())
--- a/libs/gateway/src/PromptGuard.cpp
+++ b/libs/gateway/src/PromptGuard.cpp
@@ -16,14 +16,6 @@
     return list;
 }
 
-std::map<std::vector<std::string>, int> generations(const std::vector<QuarantineEntry>& entries)
-{
-    std::map<std::vector<std::string>, int> result;
-    for (const auto& entry : entries)
-        result[entry.parts] = entry.generation;
-    return result;
-}
-
 } // namespace
 
 PromptGuard::PromptGuard(DecisionLog& log)
@@ -31,6 +23,14 @@
 {
 }
 
+PromptGuard::Generations PromptGuard::generationsOf(const std::vector<QuarantineEntry>& entries)
+{
+    Generations result;
+    for (const auto& entry : entries)
+        result[entry.parts] = entry.generation;
+    return result;
+}
+
 void PromptGuard::connect(Callbacks callbacks) { m_callbacks = std::move(callbacks); }
 
 std::optional<Duration> PromptGuard::remaining(const std::vector<std::string>& parts) const
@@ -102,28 +102,30 @@
 
 void PromptGuard::onRecord(const std::vector<QuarantineEntry>& entries)
 {
-    m_recorded = generations(entries);
+    m_recorded = generationsOf(entries);
     for (const auto& entry : entries)
         m_quarantine.adopt(entry, monotonicNow());
     noteChanges("record");
 }
 
-bool PromptGuard::differsFromRecord() const { return generations(entries()) != m_recorded; }
+bool PromptGuard::differsFromRecord() const { return generationsOf(entries()) != m_recorded; }
 
 void PromptGuard::tick()
 {
     const auto questions = m_quarantine.tick(monotonicNow());
     if (!questions.empty())
         m_callbacks.broadcast(PromptPartsQuery { questions });
-    noteChanges("own evidence");
+    noteChanges("own evidence or time");
 }
 
 void PromptGuard::noteChanges(const std::string& source)
 {
-    if (m_quarantine.changes() == m_notedChanges)
+    const auto current = entries();
+    auto generations = generationsOf(current);
+    if (generations == m_noted)
         return;
-    m_notedChanges = m_quarantine.changes();
-    m_log.write(events::promptsQuarantined, { { "quarantines", describe(entries()) }, { "source", source } });
+    m_noted = std::move(generations);
+    m_log.write(events::promptsQuarantined, { { "quarantines", describe(current) }, { "source", source } });
     m_callbacks.onChange();
 }
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -199,7 +199,7 @@
         Dispatch current;
         current.grant = *grant;
         if (checkPrompt()) {
-            releaseSlot(current, Outcome::CallerDisconnected);
+            releaseSlot(current, Outcome::CallerDisconnected); // Unused: shows nothing about the upstream.
             co_return co_await respondToFailure(worstOutcome);
         }
         const auto outcome = co_await dispatch(current);
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -79,6 +79,8 @@
     Task<Outcome> forwardStream(Dispatch&, UpstreamConnection&, const ResponseHead&);
     Task<bool> beginStream(const ResponseHead&);
     Outcome recordFailure(Dispatch&, const Error&) const;
+
+    /** Records that the upstream has answered, once a stream has enough events to show it. */
     void onFirstEvents(const Dispatch&, int64_t eventCountBefore);
     void releaseSlot(const Dispatch&, Outcome);
     /** Records what a dispatch shows about the parts of the prompt. */
--- a/libs/sched/include/sched/PromptQuarantine.h
+++ b/libs/sched/include/sched/PromptQuarantine.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -86,13 +87,14 @@
     void rotateAnswers(TimePoint now);
     void dropExpired(TimePoint now);
     int crashesWith(const std::string& part) const;
-    int requiredCrashes(const std::string& part) const;
+    int requiredCrashes(const Parts& lostTogether) const;
     Parts lostTogetherWith(const std::string& part) const;
     bool isCovered(const Parts& parts, TimePoint now) const;
     void put(const Parts&, TimePoint now);
     void removeSuspicion(const std::string& part);
 
     std::deque<Loss> m_losses;
+    std::set<std::string> m_newlyLost; /**< Parts that were lost since the last tick. */
     std::unordered_set<std::string> m_answers; /**< Parts that were answered since the last rotation. */
     std::unordered_set<std::string> m_olderAnswers; /**< Parts that were answered between the last two rotations. */
     TimePoint m_rotatedAt {};
--- a/libs/sched/src/PromptQuarantine.cpp
+++ b/libs/sched/src/PromptQuarantine.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <sched/PromptQuarantine.h>
-#include <set>
 
 namespace bronzeswitch {
 
@@ -16,7 +15,7 @@
 constexpr Duration firstQuarantine { 60000 };
 constexpr int quarantineGrowth = 4;
 constexpr Duration longestQuarantine { 3600000 };
-constexpr std::size_t maxLosses = 512;
+constexpr std::size_t maxLosses = 256;
 constexpr std::size_t maxAnswers = 8192;
 constexpr std::size_t maxQuarantines = 256;
 constexpr std::size_t maxEntries = 32; // In a report.
@@ -110,6 +109,7 @@
     std::erase_if(suspects, [this](const std::string& part) { return isAnswered(part); });
     if (suspects.empty())
         return suspects;
+    m_newlyLost.insert(suspects.begin(), suspects.end());
     m_losses.push_back({ now, upstream, suspects });
     if (m_losses.size() > maxLosses)
         m_losses.pop_front();
@@ -148,11 +148,11 @@
     return crashes;
 }
 
-int PromptQuarantine::requiredCrashes(const std::string& part) const
+int PromptQuarantine::requiredCrashes(const Parts& lostTogether) const
 {
-    const bool wasInQuarantine
-        = std::any_of(m_quarantines.begin(), m_quarantines.end(), [&](const auto& entry) { return contains(entry.first, part); });
-    return wasInQuarantine ? crashesUntilSuspectAgain : crashesUntilSuspect;
+    const bool wereInQuarantine
+        = std::any_of(m_quarantines.begin(), m_quarantines.end(), [&](const auto& entry) { return includes(lostTogether, entry.first); });
+    return wereInQuarantine ? crashesUntilSuspectAgain : crashesUntilSuspect;
 }
 
 PromptQuarantine::Parts PromptQuarantine::lostTogetherWith(const std::string& part) const
@@ -190,16 +190,11 @@
         put(entry->first, now);
         entry = m_unconfirmed.erase(entry);
     }
-    std::set<std::string> candidates;
-    for (const auto& loss : m_losses)
-        candidates.insert(loss.parts.begin(), loss.parts.end());
     Parts questions;
-    for (const auto& part : candidates) {
-        const bool isSound = isAnswered(part) || crashesWith(part) < requiredCrashes(part);
-        if (isSound)
-            continue;
+    for (const auto& part : std::exchange(m_newlyLost, {})) {
         const auto parts = lostTogetherWith(part);
-        if (isCovered(parts, now))
+        const bool isSound = isAnswered(part) || crashesWith(part) < requiredCrashes(parts);
+        if (isSound || isCovered(parts, now))
             continue;
         m_unconfirmed.emplace(parts, now);
         questions.insert(questions.end(), parts.begin(), parts.end());
@@ -236,7 +231,7 @@
 bool PromptQuarantine::isSuspect(const Parts& parts, TimePoint now) const
 {
     return remaining(parts, now) || std::any_of(parts.begin(), parts.end(), [this](const std::string& part) {
-        return !isAnswered(part) && crashesWith(part) >= std::min(crashesUntilRetryStops, requiredCrashes(part));
+        return !isAnswered(part) && crashesWith(part) >= std::min(crashesUntilRetryStops, requiredCrashes(lostTogetherWith(part)));
     });
 }
 
--- a/libs/sched/tests/PromptQuarantineTests.cpp
+++ b/libs/sched/tests/PromptQuarantineTests.cpp
@@ -75,6 +75,17 @@
     CHECK_FALSE(quarantine.remaining({ "first" }, now));
 }
 
+TEST_CASE("a sound part that is in quarantine only together with another one is not refused by itself after a crash")
+{
+    PromptQuarantine quarantine;
+    const auto now = loseAtThreeUpstreams(quarantine, { "first", "dead" }, start);
+    quarantine.onLost("e4", { "first" }, now);
+    quarantine.tick(now);
+    quarantine.tick(now + confirmed);
+    CHECK_FALSE(quarantine.remaining({ "first" }, now + confirmed));
+    CHECK(quarantine.remaining({ "first", "dead" }, now + confirmed));
+}
+
 TEST_CASE("several losses at one upstream are one crash")
 {
     PromptQuarantine quarantine;
