List the fields of nested records apart from those of messages

Also a quarantine from a peer needs a generation of at least 1, so that a malformed one leaves nothing behind (checked with the other cases of a peer's quarantine).

--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -10,11 +10,38 @@
 
 namespace {
 
+template <typename Field>
+concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
+    NamedPeer> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field,
+    RolloutReport> || std::is_same_v<Field, QuarantineEntry>;
+
+// Returns the fields of a nested record in their order on the wire.
+template <typename T> auto recordFields(T& record)
+{
+    using Type = std::remove_const_t<T>;
+    if constexpr (std::is_same_v<Type, PromptPrefix>)
+        return std::tie(record.hash, record.tokens);
+    else if constexpr (std::is_same_v<Type, UpstreamLoad>)
+        return std::tie(record.upstream, record.running, record.backlogMs, record.betweenTokensUs, record.succeeded, record.failed);
+    else if constexpr (std::is_same_v<Type, QuarantineEntry>)
+        return std::tie(record.parts, record.generation, record.remainingMs);
+    else if constexpr (std::is_same_v<Type, NamedPeer>)
+        return std::tie(record.address, record.dataCentre, record.isDelegate);
+    else if constexpr (std::is_same_v<Type, VersionTally>)
+        return std::tie(record.sent, record.withoutFailure, record.failed, record.firstByte, record.betweenTokens);
+    else if constexpr (std::is_same_v<Type, RouteTally>)
+        return std::tie(record.route, record.stable, record.candidate);
+    else
+        return std::tie(record.service, record.target, record.durationMs, record.orderId, record.phase, record.elapsedMs, record.routes);
+}
+
 // Returns the fields of a message or a nested record in their order on the wire.
 template <typename T> auto fields(T& message)
 {
     using Type = std::remove_const_t<T>;
-    if constexpr (std::is_same_v<Type, Hello>)
+    if constexpr (NestedRecord<Type>)
+        return recordFields(message);
+    else if constexpr (std::is_same_v<Type, Hello>)
         return std::tie(message.node, message.dataCentre, message.address);
     else if constexpr (std::is_same_v<Type, Heartbeat> || std::is_same_v<Type, HeartbeatAck>)
         return std::tie(message.sequence, message.ledgerNextOffset, message.isReady, message.isDraining);
@@ -41,10 +68,6 @@
         return std::tie(message.request.id, message.request.pool, message.request.route, message.request.organisation, message.request.rank,
             message.request.promptTokens, message.request.outputTokens, message.request.deadlineMs, message.request.prefixes,
             message.request.firstTokenTargetMs, message.request.startTimeoutMs, message.upstream, message.version, message.rollout);
-    else if constexpr (std::is_same_v<Type, PromptPrefix>)
-        return std::tie(message.hash, message.tokens);
-    else if constexpr (std::is_same_v<Type, UpstreamLoad>)
-        return std::tie(message.upstream, message.running, message.backlogMs, message.betweenTokensUs, message.succeeded, message.failed);
     else if constexpr (std::is_same_v<Type, QuotaRequest>)
         return std::tie(message.id, message.organisation, message.tokens, message.maxWaitMs, message.maxWaitAfterTakeoverMs);
     else if constexpr (std::is_same_v<Type, QuotaResponse>)
@@ -58,21 +81,10 @@
             message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.suspects, message.peers,
             message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable,
             message.quarantines);
-    else if constexpr (std::is_same_v<Type, QuarantineEntry>)
-        return std::tie(message.parts, message.generation, message.remainingMs);
     else if constexpr (std::is_same_v<Type, PromptLoss>)
         return std::tie(message.upstream, message.parts);
     else if constexpr (std::is_same_v<Type, PromptPartsQuery> || std::is_same_v<Type, PromptPartsAnswered>)
         return std::tie(message.parts);
-    else if constexpr (std::is_same_v<Type, NamedPeer>)
-        return std::tie(message.address, message.dataCentre, message.isDelegate);
-    else if constexpr (std::is_same_v<Type, VersionTally>)
-        return std::tie(message.sent, message.withoutFailure, message.failed, message.firstByte, message.betweenTokens);
-    else if constexpr (std::is_same_v<Type, RouteTally>)
-        return std::tie(message.route, message.stable, message.candidate);
-    else if constexpr (std::is_same_v<Type, RolloutReport>)
-        return std::tie(
-            message.service, message.target, message.durationMs, message.orderId, message.phase, message.elapsedMs, message.routes);
     else if constexpr (std::is_same_v<Type, ClaimRequest>)
         return std::tie(message.id, message.key, message.attempt, message.mode);
     else if constexpr (std::is_same_v<Type, ClaimResponse>)
@@ -87,11 +99,6 @@
         return std::tie(message.partition, message.episode, message.round);
 }
 
-template <typename Field>
-concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
-    NamedPeer> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field,
-    RolloutReport> || std::is_same_v<Field, QuarantineEntry>;
-
 template <typename Field> struct IsList : std::false_type {
 };
 template <typename Item> struct IsList<std::vector<Item>> : std::true_type {
--- a/libs/sched/src/PromptQuarantine.cpp
+++ b/libs/sched/src/PromptQuarantine.cpp
@@ -250,14 +250,15 @@
 // A known quarantine isn't extended: peers pass entries on, and each time the remaining time is a little older.
 bool PromptQuarantine::adopt(const QuarantineEntry& entry, TimePoint now)
 {
-    if (entry.parts.empty() || !answeredAmong(entry.parts).empty())
+    const auto parts = sorted(entry.parts);
+    if (parts.empty() || entry.generation < 1 || !answeredAmong(parts).empty())
         return false;
-    auto [known, isNew] = m_quarantines.try_emplace(sorted(entry.parts));
-    if (!isNew && known->second.generation >= entry.generation)
+    auto& known = m_quarantines.try_emplace(parts, Quarantine { 0, {} }).first->second;
+    if (known.generation >= entry.generation)
         return false;
     const Duration remainingTime(std::clamp<int64_t>(entry.remainingMs, 0, longestQuarantine.count()));
-    known->second = { entry.generation, now + remainingTime };
-    std::erase_if(m_losses, [&](const Loss& loss) { return includes(loss.parts, known->first); });
+    known = { entry.generation, now + remainingTime };
+    std::erase_if(m_losses, [&](const Loss& loss) { return includes(loss.parts, parts); });
     ++m_changes;
     return true;
 }
--- a/libs/sched/tests/PromptQuarantineTests.cpp
+++ b/libs/sched/tests/PromptQuarantineTests.cpp
@@ -143,6 +143,7 @@
     CHECK_FALSE(quarantine.remaining({ "part" }, end));
     CHECK(quarantine.adopt({ { "part" }, 2, 300 }, end));
     CHECK_FALSE(quarantine.adopt({ {}, 1, 300 }, end));
+    CHECK_FALSE(quarantine.adopt({ { "other" }, 0, 300 }, end));
     quarantine.onAnswered({ "sound" }, end);
     CHECK_FALSE(quarantine.adopt({ { "sound" }, 1, 300 }, end));
 }
