Let delegates alone judge prompts, and don't take over a quarantine again that an answer has ended

Cause: a node that knows only its own data centre and the delegates took a sound part for the cause (it had been lost at three upstreams while connections were reset) and asked only the nodes that it knew. A node elsewhere had seen the part answered and ended the quarantine at each peer that reported it, but a peer that had forgotten the quarantine took it over again from the next report, reported that at once, and so on at 91 nodes.

Change: only delegates evaluate losses: they know all nodes, so their query reaches every node. A quarantine that an answer has ended is kept as refuted, so that it isn't taken over again in the same generation and counts for nothing later. A delegate passes such an answer on.

Test: a quarantine that an answer has ended is not taken over again (failed before; checked with a copy that forgets ended ones).

--- a/libs/gateway/include/gateway/PromptGuard.h
+++ b/libs/gateway/include/gateway/PromptGuard.h
@@ -25,6 +25,7 @@
         std::function<void(const Message&)> broadcast; /**< Sends to all known nodes. */
         std::function<void(const std::string& node, const Message&)> send;
         std::function<void()> onChange; /**< Called when the quarantines have changed, so that the next report comes soon. */
+        std::function<bool()> isDelegate; /**< @return true if this node knows all others, so that it can judge for them. */
     };
 
     explicit PromptGuard(DecisionLog&);
@@ -58,7 +59,7 @@
     /** @return the quarantines in force, for this node's reports. */
     std::vector<QuarantineEntry> entries() const;
 
-    /** Evaluates the evidence. Called periodically. */
+    /** Evaluates the evidence, if this node is a delegate. Called periodically. */
     void tick();
 
 private:
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -127,7 +127,8 @@
             [this] { return m_peers.knownNodeCount(); }, [this] { return m_peers.liveNodeCount(); },
             [this](const std::string& address) { return m_peers.isSilent(address, monotonicNow()); } });
     m_prompts.connect({ [this](const Message& message) { broadcast(message); },
-        [this](const std::string& address, const Message& message) { send(address, message); }, [this] { onQuarantineChange(); } });
+        [this](const std::string& address, const Message& message) { send(address, message); }, [this] { onQuarantineChange(); },
+        [this] { return m_isDelegate; } });
     const auto onFailure = [this](const std::string& reason) {
         m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } });
     };
--- a/libs/gateway/src/PromptGuard.cpp
+++ b/libs/gateway/src/PromptGuard.cpp
@@ -83,7 +83,11 @@
         return true;
     }
     if (const auto* answered = std::get_if<PromptPartsAnswered>(&message)) {
-        m_quarantine.onPeerAnswered(answered->parts);
+        const auto before = m_quarantine.changes();
+        m_quarantine.onPeerAnswered(answered->parts, monotonicNow());
+        // The sender knows few nodes of other data centres.
+        if (m_quarantine.changes() != before && m_callbacks.isDelegate())
+            m_callbacks.broadcast(*answered);
         noteChanges(from);
         return true;
     }
@@ -112,7 +116,8 @@
 
 void PromptGuard::tick()
 {
-    const auto questions = m_quarantine.tick(monotonicNow());
+    // A query by another node would not reach the nodes that it doesn't know, and one of them may have seen an answer.
+    const auto questions = m_callbacks.isDelegate() ? m_quarantine.tick(monotonicNow()) : std::vector<std::string> {};
     if (!questions.empty())
         m_callbacks.broadcast(PromptPartsQuery { questions });
     noteChanges("own evidence or time");
--- a/libs/sched/include/sched/PromptQuarantine.h
+++ b/libs/sched/include/sched/PromptQuarantine.h
@@ -39,7 +39,7 @@
     void onAnswered(const Parts&, TimePoint now);
 
     /** Drops what speaks against these parts, because a peer has recently seen an answer to a request with them. */
-    void onPeerAnswered(const Parts&);
+    void onPeerAnswered(const Parts&, TimePoint now);
 
     /**
      * Records that a request was lost together with its upstream, at this node or at a peer.
@@ -81,6 +81,7 @@
     struct Quarantine {
         int generation = 1;
         TimePoint until {};
+        bool isRefuted = false; /**< An answer has ended it; kept so that it isn't taken over again from a peer. */
     };
 
     bool isAnswered(const std::string& part) const;
@@ -91,7 +92,7 @@
     Parts lostTogetherWith(const std::string& part) const;
     bool isCovered(const Parts& parts, TimePoint now) const;
     void put(const Parts&, TimePoint now);
-    void removeSuspicion(const std::string& part);
+    void removeSuspicion(const std::string& part, TimePoint now);
 
     std::deque<Loss> m_losses;
     std::set<std::string> m_newlyLost; /**< Parts that were lost since the last tick. */
--- a/libs/sched/src/PromptQuarantine.cpp
+++ b/libs/sched/src/PromptQuarantine.cpp
@@ -45,26 +45,6 @@
     return std::includes(sortedParts.begin(), sortedParts.end(), others.begin(), others.end());
 }
 
-// Removes a part from all keys that have it. A key without parts left is dropped.
-template <typename Value> bool removeFromKeys(std::map<PromptQuarantine::Parts, Value>& entries, const std::string& part)
-{
-    std::map<PromptQuarantine::Parts, Value> changed;
-    for (auto entry = entries.begin(); entry != entries.end();) {
-        if (!contains(entry->first, part)) {
-            ++entry;
-            continue;
-        }
-        auto parts = entry->first;
-        std::erase(parts, part);
-        changed.emplace(std::move(parts), entry->second);
-        entry = entries.erase(entry);
-    }
-    const bool hasChanged = !changed.empty();
-    changed.erase(PromptQuarantine::Parts {});
-    entries.merge(changed);
-    return hasChanged;
-}
-
 } // namespace
 
 bool PromptQuarantine::isAnswered(const std::string& part) const { return m_answers.contains(part) || m_olderAnswers.contains(part); }
@@ -82,24 +62,41 @@
     rotateAnswers(now);
     for (const auto& part : parts) {
         m_answers.insert(part);
-        removeSuspicion(part);
+        removeSuspicion(part, now);
     }
 }
 
-void PromptQuarantine::onPeerAnswered(const Parts& parts)
+void PromptQuarantine::onPeerAnswered(const Parts& parts, TimePoint now)
 {
     for (const auto& part : parts) {
-        removeSuspicion(part);
+        removeSuspicion(part, now);
         for (auto& loss : m_losses)
             std::erase(loss.parts, part);
     }
 }
 
-void PromptQuarantine::removeSuspicion(const std::string& part)
+// The part isn't the cause, so what remains of parts that were lost together is.
+void PromptQuarantine::removeSuspicion(const std::string& part, TimePoint now)
 {
-    removeFromKeys(m_unconfirmed, part);
-    if (removeFromKeys(m_quarantines, part))
+    const auto without = [&](Parts parts) {
+        std::erase(parts, part);
+        return parts;
+    };
+    for (auto& [parts, askedAt] : std::map(m_unconfirmed)) {
+        if (!contains(parts, part))
+            continue;
+        m_unconfirmed.erase(parts);
+        if (parts.size() > 1)
+            m_unconfirmed.emplace(without(parts), askedAt);
+    }
+    for (auto& [parts, quarantine] : std::map(m_quarantines)) {
+        if (!contains(parts, part) || quarantine.isRefuted)
+            continue;
+        if (parts.size() > 1)
+            m_quarantines.emplace(without(parts), quarantine);
+        m_quarantines[parts] = { quarantine.generation, std::min(quarantine.until, now), true };
         ++m_changes;
+    }
 }
 
 PromptQuarantine::Parts PromptQuarantine::onLost(const std::string& upstream, const Parts& parts, TimePoint now)
@@ -109,6 +106,8 @@
     std::erase_if(suspects, [this](const std::string& part) { return isAnswered(part); });
     if (suspects.empty())
         return suspects;
+    if (m_newlyLost.size() > maxLosses)
+        m_newlyLost.clear(); // Nobody evaluates the losses at this node.
     m_newlyLost.insert(suspects.begin(), suspects.end());
     m_losses.push_back({ now, upstream, suspects });
     if (m_losses.size() > maxLosses)
@@ -150,8 +149,8 @@
 
 int PromptQuarantine::requiredCrashes(const Parts& lostTogether) const
 {
-    const bool wereInQuarantine
-        = std::any_of(m_quarantines.begin(), m_quarantines.end(), [&](const auto& entry) { return includes(lostTogether, entry.first); });
+    const bool wereInQuarantine = std::any_of(m_quarantines.begin(), m_quarantines.end(),
+        [&](const auto& entry) { return !entry.second.isRefuted && includes(lostTogether, entry.first); });
     return wereInQuarantine ? crashesUntilSuspectAgain : crashesUntilSuspect;
 }
 
@@ -211,6 +210,7 @@
     if (!isNew)
         ++entry->second.generation;
     entry->second.until = now + quarantineTime(entry->second.generation);
+    entry->second.isRefuted = false;
     std::erase_if(m_losses, [&](const Loss& loss) { return includes(loss.parts, parts); });
     ++m_changes;
 }
--- a/libs/sched/tests/CrashingPromptModel.h
+++ b/libs/sched/tests/CrashingPromptModel.h
@@ -186,7 +186,7 @@
                     const auto answered = peer.answeredAmong(questions);
                     if (!answered.empty())
                         m_messages.push_back({ node, m_now + m_options.messageTime,
-                            [answered](PromptQuarantine& asker) { asker.onPeerAnswered(answered); } });
+                            [answered, this](PromptQuarantine& asker) { asker.onPeerAnswered(answered, m_now); } });
                 });
             }
             for (const auto& entry : m_nodes[node]->entries(m_now))
--- a/libs/sched/tests/PromptQuarantineTests.cpp
+++ b/libs/sched/tests/PromptQuarantineTests.cpp
@@ -103,7 +103,7 @@
     for (const char* upstream : { "e1", "e2", "e3" })
         quarantine.onLost(upstream, { "part" }, start);
     CHECK(quarantine.tick(start) == Parts { "part" });
-    quarantine.onPeerAnswered({ "part" });
+    quarantine.onPeerAnswered({ "part" }, start);
     quarantine.tick(start + confirmed);
     CHECK_FALSE(quarantine.remaining({ "part" }, start + confirmed));
     const auto now = loseAtThreeUpstreams(quarantine, { "part" }, start + confirmed);
@@ -159,6 +159,20 @@
     CHECK(quarantine.entries(start + confirmed).at(0).generation == 1);
 }
 
+TEST_CASE("a quarantine that an answer has ended is not taken over again from peers that don't know the answer yet")
+{
+    PromptQuarantine quarantine;
+    const QuarantineEntry entry { { "first", "part" }, 1, 60000 };
+    REQUIRE(quarantine.adopt(entry, start));
+    quarantine.onPeerAnswered({ "first", "part" }, start);
+    CHECK_FALSE(quarantine.adopt(entry, start + Duration(100)));
+    CHECK(quarantine.entries(start + Duration(100)).empty());
+    // The answer shows that the earlier crashes had other causes, so one more isn't enough.
+    quarantine.onLost("e1", { "first", "part" }, start + Duration(200));
+    CHECK(quarantine.tick(start + Duration(200)).empty());
+    CHECK(quarantine.adopt({ { "first", "part" }, 2, 60000 }, start + Duration(300)));
+}
+
 TEST_CASE("what a node keeps of prompts is bounded")
 {
     PromptQuarantine quarantine;
