Log which responses state that their upstream leaves

Requests reached upstreams that had stated in responses that they leave (DRAIN). The log could not show whether a request was sent before or after such a response, since the field was not read. Nothing else changes.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -333,6 +333,7 @@
 {
     const auto metadata = m_context.headerCodec.decodeResponse(head);
     current.firstByteAt = monotonicNow();
+    current.statesLeaving = metadata.isLeaving;
     if (metadata.load)
         m_context.slots.reportLoad(m_service, current.upstream.id, *metadata.load);
     const bool isForThisRequest = metadata.requestId.empty() || metadata.requestId == m_resolved.metadata.requestId;
@@ -609,6 +610,8 @@
         fields["firstByteMs"] = std::lround(toMs(current.firstByteAt - current.sentAt));
     if (current.eventCount)
         fields["events"] = current.eventCount;
+    if (current.statesLeaving)
+        fields["upstreamLeaving"] = true;
     if (outcome == Outcome::Completed) {
         m_context.metrics.countRequest(m_resolved.route->rank, "completed");
         m_context.metrics.observeLatency("first-byte", m_resolved.route->name, toSeconds(current.firstByteAt - m_arrivedAt));
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -44,6 +44,7 @@
         UpstreamEntry upstream;
         TimePoint sentAt {};
         TimePoint firstByteAt {};
+        bool statesLeaving = false; /**< The response says that the upstream leaves. */
         int64_t eventCount = 0; /**< Events of a stream that this upstream has sent. */
         bool wasSent = false; /**< The request may have reached the upstream. */
         std::string failure; /**< Why there is no usable response, for the decision log. */
