Don't use a slot at an upstream that leaves to the node's own knowledge

Callers' requests reached an upstream that was leaving (DRAIN): a node dispatched to whatever the pool's home granted, and only looked whether the upstream still had an entry. A home whose directory is behind, because a change or its announcement is late there, thus made nodes in touch send requests to an upstream whose leaving they knew themselves; and a request could wait for a connection while its upstream began to leave. The node that dispatches checks its own directory now, before and after it connects, returns the slot unused, which says nothing about the upstream's health, and asks for another one.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -247,6 +247,8 @@
         co_return Outcome::NotRun;
     }
     current.upstream = *upstream;
+    if (isWithheld(current))
+        co_return Outcome::NotRun;
     const auto endpoint = parseEndpoint(upstream->address);
     if (!endpoint) {
         current.failure = endpoint.error().message;
@@ -259,6 +261,10 @@
         current.failure = "connect: " + ready.error().message;
         co_return Outcome::NotRun;
     }
+    if (isWithheld(current)) {
+        m_context.connectionPool.release(std::move(ready->connection));
+        co_return Outcome::NotRun;
+    }
     m_activeConnection = ready->connection.get();
     const auto outcome = co_await exchange(current, *ready);
     m_activeConnection = nullptr;
@@ -267,6 +273,15 @@
     co_return outcome;
 }
 
+bool RequestTask::isWithheld(Dispatch& current) const
+{
+    const auto* upstream = m_context.directory.find(current.upstream.id);
+    current.isWithheld = !upstream || upstream->isDraining;
+    if (current.isWithheld)
+        current.failure = "the upstream leaves";
+    return current.isWithheld;
+}
+
 // Estimates how long the caller has been trying before this attempt. A caller that retries after a refusal sends the rest of its
 // timeout, so its shortfall against the longest timeout on the route is the time that earlier attempts took.
 Duration RequestTask::elapsedBeforeArrival()
@@ -481,7 +496,7 @@
         slotRelease.outcome = DispatchOutcome::Cancelled;
         break;
     case Outcome::NotRun:
-        slotRelease.outcome = current.wasSent ? DispatchOutcome::Cancelled : DispatchOutcome::Unreachable;
+        slotRelease.outcome = current.wasSent || current.isWithheld ? DispatchOutcome::Cancelled : DispatchOutcome::Unreachable;
         break;
     default:
         slotRelease.outcome = DispatchOutcome::Failed;
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -48,6 +48,7 @@
         int64_t eventCount = 0; /**< Events of a stream that this upstream has sent. */
         bool wasSent = false; /**< The request may have reached the upstream. */
         std::string failure; /**< Why there is no usable response, for the decision log. */
+        bool isWithheld = false; /**< Not sent, since the upstream wants no requests now. */
         bool isLost = false; /**< The upstream broke the connection off. */
     };
 
@@ -69,6 +70,10 @@
     Task<bool> dispatchWithRetries();
 
     Task<Outcome> dispatch(Dispatch&);
+
+    /** Checks that the upstream wants requests, to this node's own knowledge, which may be newer than that of the slot's grantor. */
+    bool isWithheld(Dispatch&) const;
+
     Task<Outcome> exchange(Dispatch&, AcquiredConnection&);
     Task<Result<ResponseHead>> readResponseHead(Dispatch&, UpstreamConnection&, OutgoingRequest);
     Task<Outcome> handleResponse(Dispatch&, UpstreamConnection&, const ResponseHead&);
