Keep requests from upstreams that state in responses that they leave

Callers' requests reached an upstream that had said in its responses that it was leaving (DRAIN). The field was passed on and never read: only the directory ended the use of an upstream, and its news is late or missing while its source is away, turns the node away or has lost its history, and for upstreams that never write their state. The class: what a peer says on the path of the data is ignored in favour of a slower source.

A statement marks the directory's entry as draining until the upstream starts again, so schedulers, roll-outs and the check before a dispatch see it at once. Reports carry the statements (line 323 shows their source), so homes stop to grant slots there and restarted nodes learn of it; the start time in each keeps one of an earlier start from coming back.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -59,6 +59,8 @@
     "This node is no longer the home of a pool or of a group of quotas." };
 inline constexpr Event upstreamsSuspected { 322, "upstreams-suspected", EventLevel::Info,
     "The set of upstreams that get hardly any requests, because they fail many of them, has changed." };
+inline constexpr Event upstreamNotice { 323, "upstream-notice", EventLevel::Info,
+    "An upstream has stated in a response what this node and its peers have to observe." };
 inline constexpr Event promptsQuarantined { 330, "prompts-quarantined", EventLevel::Warning,
     "The set of parts of prompts that no upstream gets, because requests with them crash upstreams, has changed." };
 inline constexpr Event upstreamUnreachable { 400, "upstream-unreachable", EventLevel::Warning,
--- a/libs/base/src/EventLog.cpp
+++ b/libs/base/src/EventLog.cpp
@@ -28,10 +28,10 @@
     events::logReachable, events::stateFromPeer, events::snapshotConfirmed, events::snapshotFailed, events::routingInForce,
     events::routingInvalid, events::recordSkipped, events::upstreamsChanged, events::dependencyLost, events::dependencyRegained,
     events::stateFetched, events::membersChanged, events::delegateChanged, events::homeTaken, events::homeLeft, events::upstreamsSuspected,
-    events::promptsQuarantined, events::upstreamUnreachable, events::answerDropped, events::streamResumed, events::outcomeUnclear,
-    events::rolloutStep, events::rolloutAlarm, events::rolloutTakenBack, events::rolloutFinished, events::rolloutRecorded,
-    events::orderAccepted, events::orderRefused, events::requestDispatched, events::requestAnswered, events::requestRefused,
-    events::requestFailed, events::requestRejected, events::dispatchUnsuccessful, events::callerLeft };
+    events::upstreamNotice, events::promptsQuarantined, events::upstreamUnreachable, events::answerDropped, events::streamResumed,
+    events::outcomeUnclear, events::rolloutStep, events::rolloutAlarm, events::rolloutTakenBack, events::rolloutFinished,
+    events::rolloutRecorded, events::orderAccepted, events::orderRefused, events::requestDispatched, events::requestAnswered,
+    events::requestRefused, events::requestFailed, events::requestRejected, events::dispatchUnsuccessful, events::callerLeft };
 
 log4cplus::Logger& logger()
 {
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -9,6 +9,7 @@
 #include <gateway/RoutingTable.h>
 #include <gateway/SlotAllocator.h>
 #include <gateway/UpstreamDirectory.h>
+#include <gateway/UpstreamNotices.h>
 #include <metrics/Metrics.h>
 #include <net/HttpConnectionPool.h>
 
@@ -55,6 +56,7 @@
     RolloutController& rollouts;
     QuotaEnforcer& quotas;
     PromptGuard& prompts;
+    UpstreamNotices& notices;
     RoutingTablePointer routing;
     UpstreamDirectory directory;
     std::map<std::string, RetryBudget> retryBudgets; /**< By service. */
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -149,6 +149,7 @@
     void configureSlots();
     void advanceRollouts(TimePoint now);
     void onQuarantineChange();
+    void connectNotices();
     bool isRolloutLeader(const std::string& service) const;
     bool isStableVersionIdle(const std::string& service) const;
     void startBackgroundTask(const char* name, Task<void>);
@@ -162,6 +163,7 @@
     RolloutController m_rollouts;
     QuotaEnforcer m_quotas;
     PromptGuard m_prompts;
+    UpstreamNotices m_notices;
     GatewayContext m_context;
     PeerView m_peers;
     StateFetcher m_stateFetcher;
--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -47,12 +47,26 @@
     /** Carries out the delayed removals that are due. @return true if any entry was removed. */
     bool expire(TimePoint now);
 
+    /**
+     * Records that an upstream leaves, which it has stated itself. Holds until it starts again, whatever its entry says.
+     * @param startedAt start of the upstream that leaves, as in its entry.
+     * @return true if its entry has changed.
+     */
+    bool setLeaving(const std::string& id, int64_t startedAt);
+
+    /** @return the upstreams with an entry that have stated that they leave, with the starts for which that holds. */
+    std::map<std::string, int64_t> leaving() const;
+
     const std::map<std::string, UpstreamEntry>& entries() const { return m_entries; }
     /** @return the entry, or null. */
     const UpstreamEntry* find(const std::string& id) const;
 
 private:
     std::map<std::string, UpstreamEntry> m_entries; /**< By identifier. */
+    bool hasStatedLeaving(const UpstreamEntry&) const;
+    void dropExcessStatements();
+
+    std::map<std::string, int64_t> m_leaving; /**< Starts of the upstreams that have stated that they leave, by identifier. */
     std::map<std::string, TimePoint> m_pendingRemovals; /**< When delayed removals are due, by identifier. */
 };
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -63,8 +63,9 @@
     , m_rollouts(m_options.bounds.exposure, m_log)
     , m_quotas(loop.get_executor(), m_options.bounds.quotas, m_log)
     , m_prompts(m_log)
+    , m_notices(m_log)
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(headerCodec), m_log, m_metrics, m_connectionPool,
-        m_slots, m_rollouts, m_quotas, m_prompts, nullptr, {}, {}, [this] { return m_peers.knownNodeCount(); } }
+        m_slots, m_rollouts, m_quotas, m_prompts, m_notices, nullptr, {}, {}, [this] { return m_peers.knownNodeCount(); } }
     , m_peers(PeerTimeouts {})
     , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
     , m_incarnation(unixMilliseconds())
@@ -129,6 +130,7 @@
     m_prompts.connect({ [this](const Message& message) { broadcast(message); },
         [this](const std::string& address, const Message& message) { send(address, message); }, [this] { onQuarantineChange(); },
         [this] { return m_isDelegate; } });
+    connectNotices();
     const auto onFailure = [this](const std::string& reason) {
         m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } });
     };
@@ -236,6 +238,7 @@
     m_rollouts.setPeerReports(sender, report->incarnation, report->rollouts, monotonicNow());
     m_slots.setPeerSuspects(sender, report->suspects);
     m_prompts.onPeerEntries(sender, report->quarantines);
+    m_notices.onPeerNotices(sender, report->notices);
     if (report->hasLoads)
         m_slots.setPeerLoads(sender, report->loads);
 }
@@ -284,6 +287,7 @@
     report.knownNodes = m_peers.directNodeCount();
     report.isSourceReachable = m_isSourceReachable;
     report.quarantines = m_prompts.entries();
+    report.notices = m_notices.entries(m_context.directory);
     return report;
 }
 
@@ -382,6 +386,12 @@
     return m_rollouts.dueRecords(monotonicNow(), [this](const std::string& service) { return isRolloutLeader(service); });
 }
 
+void GatewayNode::connectNotices()
+{
+    m_notices.connect(
+        { [this](const std::function<bool(UpstreamDirectory&)>& change) { return updateDirectory(change); }, [this] { reportNow(); } });
+}
+
 // The delegates' reports reach all nodes.
 void GatewayNode::onQuarantineChange()
 {
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -352,6 +352,8 @@
     if (metadata.load)
         m_context.slots.reportLoad(m_service, current.upstream.id, *metadata.load);
     const bool isForThisRequest = metadata.requestId.empty() || metadata.requestId == m_resolved.metadata.requestId;
+    if (isForThisRequest && !metadata.isMisdirected)
+        m_context.notices.onResponse(current.upstream, metadata);
     if (isSuccess(head.status)) {
         const bool isUsable = isForThisRequest && metadata.isSigned && fieldValue(head.fields, "Content-Encoding").empty();
         if (!isUsable) {
--- a/libs/gateway/src/UpstreamDirectory.cpp
+++ b/libs/gateway/src/UpstreamDirectory.cpp
@@ -1,17 +1,62 @@
+#include <algorithm>
 #include <gateway/UpstreamDirectory.h>
+#include <iterator>
 
 namespace bronzeswitch {
 
+namespace {
+
+constexpr std::size_t maxLeaving = 4096; // More than upstreams exist; only statements of upstreams without an entry are dropped.
+
+} // namespace
+
 bool UpstreamDirectory::put(const UpstreamEntry& entry)
 {
     m_pendingRemovals.erase(entry.id);
+    auto current = entry;
+    current.isDraining = entry.isDraining || hasStatedLeaving(entry);
     auto& known = m_entries[entry.id];
-    if (known == entry)
+    if (known == current)
         return false;
-    known = entry;
+    known = current;
     return true;
 }
 
+bool UpstreamDirectory::hasStatedLeaving(const UpstreamEntry& entry) const
+{
+    const auto found = m_leaving.find(entry.id);
+    return found != m_leaving.end() && found->second == entry.startedAt;
+}
+
+bool UpstreamDirectory::setLeaving(const std::string& id, int64_t startedAt)
+{
+    auto [known, isNew] = m_leaving.try_emplace(id, startedAt);
+    known->second = std::max(known->second, startedAt);
+    const auto entry = m_entries.find(id);
+    const bool isChanged = entry != m_entries.end() && !entry->second.isDraining && hasStatedLeaving(entry->second);
+    if (isChanged)
+        entry->second.isDraining = true;
+    dropExcessStatements();
+    return isChanged;
+}
+
+// An upstream without an entry gets no requests, and its identifier hardly ever returns.
+void UpstreamDirectory::dropExcessStatements()
+{
+    if (m_leaving.size() > maxLeaving)
+        std::erase_if(m_leaving, [this](const auto& item) { return !m_entries.contains(item.first); });
+}
+
+std::map<std::string, int64_t> UpstreamDirectory::leaving() const
+{
+    std::map<std::string, int64_t> result;
+    std::copy_if(m_leaving.begin(), m_leaving.end(), std::inserter(result, result.end()), [this](const auto& item) {
+        const auto* entry = find(item.first);
+        return entry && hasStatedLeaving(*entry);
+    });
+    return result;
+}
+
 bool UpstreamDirectory::remove(const std::string& id, TimePoint now, TimePoint graceUntil)
 {
     if (!m_entries.contains(id))
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -272,6 +272,15 @@
     bool operator==(const QuarantineEntry&) const = default;
 };
 
+/** What an upstream has stated about itself in its responses. */
+struct UpstreamNotice {
+    std::string upstream;
+    int64_t startedAt = 0; /**< Unix milliseconds of the upstream's start: what it stated holds until it starts again. */
+    bool isLeaving = false; /**< It will stop soon and wants no new requests. */
+
+    bool operator==(const UpstreamNotice&) const = default;
+};
+
 /** A node's current state. Sent to its peers periodically, so that a lost report does no harm. */
 struct NodeReport {
     std::string node;
@@ -293,6 +302,7 @@
     int knownNodes = 0; /**< Nodes that the sender has heard of itself recently, including itself. */
     bool isSourceReachable = true; /**< False if the sender has recently failed to reach the source of routing and directory. */
     std::vector<QuarantineEntry> quarantines; /**< Those in force at the sender. */
+    std::vector<UpstreamNotice> notices; /**< Of upstreams in the sender's directory. */
 
     bool operator==(const NodeReport&) const = default;
 };
