Observe the request limits that upstreams state, over all nodes together

Upstreams in need state the requests a second that they take from all nodes; they got as many as their free slots allowed (LIMIT). The field was not read, and an upstream that gets little looks like the cheapest one of its pool, so all nodes kept on choosing it: of 53 dispatches in 8 s to two engines with limits of 1 and 1.5, one node alone sent 7 within 4 s, and none was a repeat. The class: admission counts what runs at a time, never what arrives in a time.

The home of a pool, which grants its slots to all nodes, keeps a token bucket for each upstream with a limit; a pool of plain services has a home while one of its upstreams states a limit; where the home does not answer, upstreams with a limit are not used. All nodes know the limits from reports, so the next home does too: a bucket holds so little that four homes in 4 s stay within the bound.

--- a/libs/gateway/include/gateway/HeaderCodec.h
+++ b/libs/gateway/include/gateway/HeaderCodec.h
@@ -43,6 +43,7 @@
     bool isNotRun = false; /**< The upstream states that it did not run the request. */
     bool isMisdirected = false; /**< Another upstream listens at the address now. */
     std::optional<LoadReport> load;
+    std::optional<double> requestLimit; /**< Requests a second that the upstream takes from all nodes together. */
     bool isLeaving = false; /**< The upstream will stop soon and wants no new requests. */
 
     bool operator==(const ResponseMetadata&) const = default;
--- a/libs/gateway/include/gateway/SlotAllocator.h
+++ b/libs/gateway/include/gateway/SlotAllocator.h
@@ -73,6 +73,14 @@
     /** Processes a peer's message about slots. */
     void onMessage(const std::string& from, const Message&);
 
+    /**
+     * Sets the requests a second that upstreams take from all nodes together; those that are missing state no limit.
+     *
+     * The home node of a pool keeps its upstreams' limits, so a pool of plain services has one too while there are any. Without
+     * the home node's answer, no upstream with a limit is used.
+     */
+    void setRequestLimits(const std::map<std::string, double>& perSecond);
+
     /** Replaces the loads that a peer has reported. */
     void setPeerLoads(const std::string& peer, const std::vector<UpstreamLoad>&);
 
@@ -114,6 +122,11 @@
 
     Duration sendRequest(PendingRequest&, TimePoint now);
     Duration requestLocally(PendingRequest&, TimePoint now);
+
+    /** Decides on the request although another node is the pool's home. */
+    Duration requestWithoutHome(PendingRequest&, TimePoint now);
+
+    bool hasRequestLimits(const std::string& pool) const;
     void cancelAtHome(const PendingRequest&);
     void returnUnused(const std::string& grantor, uint64_t requestId);
     void onRequest(const std::string& from, const SlotRequest&);
@@ -134,6 +147,7 @@
     std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending;
     std::map<uint64_t, std::string> m_grantors; /**< Nodes that granted the slots in use on this node, by request identifier. */
     std::map<std::string, int> m_running; /**< This node's running requests by upstream. */
+    std::map<std::string, double> m_requestLimits; /**< Requests a second by upstream. */
     FailureCounts m_failureCounts;
     std::map<std::string, std::set<std::string>> m_peerSuspects;
     std::set<std::string> m_suspects; /**< Of this node or of a peer. */
--- a/libs/gateway/include/gateway/UpstreamNotices.h
+++ b/libs/gateway/include/gateway/UpstreamNotices.h
@@ -6,6 +6,8 @@
 #include <protocol/Messages.h>
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +17,8 @@
  * Applies what upstreams state about themselves in their responses, together with the other nodes.
  *
  * An upstream's own statement is newer than the directory, and reaches this node also while the directory's source does not. Reports
- * repeat the statements, so no message has to arrive.
+ * repeat the statements, so no message has to arrive. That an upstream leaves holds until it starts again. A request limit holds until
+ * a later response states another one or none; of what several nodes have been told, the latest statement counts.
  *
  *     notices.onResponse(upstream, metadata);
  *     report.notices = notices.entries(directory);
@@ -25,7 +28,8 @@
     /** Connection to the node. */
     struct Callbacks {
         std::function<bool(const std::function<bool(UpstreamDirectory&)>&)> updateDirectory; /**< See GatewayNode::updateDirectory(). */
-        std::function<void()> onChange; /**< Called when the notices have changed, so that the next report comes soon. */
+        std::function<void()> onLimitChange; /**< Called when requestLimits() has changed. */
+        std::function<void()> onChange; /**< Called when a notice has begun or ended to hold, so that the next report comes soon. */
     };
 
     explicit UpstreamNotices(DecisionLog&);
@@ -33,19 +37,34 @@
     void connect(Callbacks);
 
     /** Processes what an upstream states in a response to a request of this node. */
-    void onResponse(const UpstreamEntry&, const ResponseMetadata&);
+    void onResponse(const UpstreamEntry&, const ResponseMetadata&, TimePoint now);
 
     /** Processes the notices that a peer has reported. */
-    void onPeerNotices(const std::string& from, const std::vector<UpstreamNotice>&);
+    void onPeerNotices(const std::string& from, const std::vector<UpstreamNotice>&, TimePoint now);
 
     /** @return the notices of upstreams in the directory, for this node's reports. */
-    std::vector<UpstreamNotice> entries(const UpstreamDirectory&) const;
+    std::vector<UpstreamNotice> entries(const UpstreamDirectory&, TimePoint now) const;
+
+    /** @return the requests a second that upstreams in the directory take from all nodes together, if they state a limit. */
+    std::map<std::string, double> requestLimits(const UpstreamDirectory&) const;
+
+    /** Forgets statements of upstreams that are no longer in the directory, if there are many. Called periodically. */
+    void dropExcess(const UpstreamDirectory&);
 
 private:
+    struct LimitStatement {
+        int64_t startedAt = 0; /**< Unix milliseconds of the upstream's start. */
+        std::optional<double> perSecond;
+        TimePoint statedAt {};
+    };
+
     void setLeaving(const std::string& upstream, int64_t startedAt, const std::string& source);
+    void setLimit(const std::string& upstream, const LimitStatement&, const std::string& source);
+    void addLimits(std::map<std::string, UpstreamNotice>&, const UpstreamDirectory&, TimePoint now) const;
 
     DecisionLog& m_log;
     Callbacks m_callbacks;
+    std::map<std::string, LimitStatement> m_limits; /**< The latest statements of upstreams that have stated a limit, by identifier. */
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -40,6 +40,8 @@
         comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
     for (std::size_t index = 0; index < std::min(comparable.quarantines.size(), last.quarantines.size()); ++index)
         comparable.quarantines[index].remainingMs = last.quarantines[index].remainingMs;
+    for (std::size_t index = 0; index < std::min(comparable.notices.size(), last.notices.size()); ++index)
+        comparable.notices[index].limitAgeMs = last.notices[index].limitAgeMs;
     return comparable != last;
 }
 
@@ -164,8 +166,10 @@
 
 void GatewayNode::configureSlots()
 {
-    if (m_context.routing)
-        m_slots.configure(*m_context.routing, m_context.directory, m_rollouts.rules());
+    if (!m_context.routing)
+        return;
+    m_slots.configure(*m_context.routing, m_context.directory, m_rollouts.rules());
+    m_slots.setRequestLimits(m_notices.requestLimits(m_context.directory));
 }
 
 bool GatewayNode::updateDirectory(const std::function<bool(UpstreamDirectory&)>& change)
@@ -238,7 +242,7 @@
     m_rollouts.setPeerReports(sender, report->incarnation, report->rollouts, monotonicNow());
     m_slots.setPeerSuspects(sender, report->suspects);
     m_prompts.onPeerEntries(sender, report->quarantines);
-    m_notices.onPeerNotices(sender, report->notices);
+    m_notices.onPeerNotices(sender, report->notices, monotonicNow());
     if (report->hasLoads)
         m_slots.setPeerLoads(sender, report->loads);
 }
@@ -287,7 +291,7 @@
     report.knownNodes = m_peers.directNodeCount();
     report.isSourceReachable = m_isSourceReachable;
     report.quarantines = m_prompts.entries();
-    report.notices = m_notices.entries(m_context.directory);
+    report.notices = m_notices.entries(m_context.directory, monotonicNow());
     return report;
 }
 
@@ -366,6 +370,7 @@
             continue;
         nextSweep = now + connectionSweepInterval;
         m_connectionPool.closeExpired();
+        m_notices.dropExcess(m_context.directory);
     }
 }
 
@@ -388,8 +393,8 @@
 
 void GatewayNode::connectNotices()
 {
-    m_notices.connect(
-        { [this](const std::function<bool(UpstreamDirectory&)>& change) { return updateDirectory(change); }, [this] { reportNow(); } });
+    m_notices.connect({ [this](const std::function<bool(UpstreamDirectory&)>& change) { return updateDirectory(change); },
+        [this] { m_slots.setRequestLimits(m_notices.requestLimits(m_context.directory)); }, [this] { reportNow(); } });
 }
 
 // The delegates' reports reach all nodes.
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -353,7 +353,7 @@
         m_context.slots.reportLoad(m_service, current.upstream.id, *metadata.load);
     const bool isForThisRequest = metadata.requestId.empty() || metadata.requestId == m_resolved.metadata.requestId;
     if (isForThisRequest && !metadata.isMisdirected)
-        m_context.notices.onResponse(current.upstream, metadata);
+        m_context.notices.onResponse(current.upstream, metadata, current.firstByteAt);
     if (isSuccess(head.status)) {
         const bool isUsable = isForThisRequest && metadata.isSigned && fieldValue(head.fields, "Content-Encoding").empty();
         if (!isUsable) {
--- a/libs/gateway/src/SlotAllocator.cpp
+++ b/libs/gateway/src/SlotAllocator.cpp
@@ -118,6 +118,7 @@
         const auto* known = rule == rules.end() ? nullptr : &rule->second;
         m_hasHome[service.name] = hasHome(service, known);
         deliver(pool.configure(makePoolPlan(table, directory, service, m_dataCentre, known), now));
+        pool.setRequestLimits(m_requestLimits, now);
     }
     for (auto pool = m_pools.begin(); pool != m_pools.end();) {
         if (names.contains(pool->first)) {
@@ -181,7 +182,8 @@
 Duration SlotAllocator::sendRequest(PendingRequest& pending, TimePoint now)
 {
     const auto pool = m_hasHome.find(pending.request.pool);
-    const bool hasHome = pool != m_hasHome.end() && pool->second && m_callbacks.homeOf;
+    const bool needsHome = (pool != m_hasHome.end() && pool->second) || hasRequestLimits(pending.request.pool);
+    const bool hasHome = needsHome && m_callbacks.homeOf;
     const auto home = hasHome ? m_callbacks.homeOf(pending.request.pool) : m_node;
     const bool hasMoved = !pending.home.empty() && pending.home != home;
     if (hasMoved)
@@ -196,13 +198,27 @@
         m_log.write(events::homeLeft, { { "pool", pending.request.pool }, { "home", home }, { "reason", "no answer" } });
         m_callbacks.onHomeSilent(home);
         pending.home = m_node;
-        return requestLocally(pending, now);
+        return requestWithoutHome(pending, now);
     }
     ++pending.unansweredSends;
     m_callbacks.send(home, pending.request);
     return pending.unansweredSends == 1 ? firstResponseTimeout : firstResponseTimeout * maxUnansweredSends;
 }
 
+Duration SlotAllocator::requestWithoutHome(PendingRequest& pending, TimePoint now)
+{
+    for (const auto& [upstream, perSecond] : m_requestLimits)
+        pending.request.excluded.push_back(upstream);
+    return requestLocally(pending, now);
+}
+
+bool SlotAllocator::hasRequestLimits(const std::string& pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found != m_pools.end()
+        && std::any_of(m_requestLimits.begin(), m_requestLimits.end(), [&](const auto& item) { return found->second.has(item.first); });
+}
+
 Duration SlotAllocator::requestLocally(PendingRequest& pending, TimePoint now)
 {
     pending.isAcknowledged = true;
@@ -361,6 +377,13 @@
         deliver(pool.setNodeLoads(peer, byUpstream, monotonicNow()));
 }
 
+void SlotAllocator::setRequestLimits(const std::map<std::string, double>& perSecond)
+{
+    m_requestLimits = perSecond;
+    for (auto& [name, pool] : m_pools)
+        pool.setRequestLimits(perSecond, monotonicNow());
+}
+
 void SlotAllocator::onPeerLost(const std::string& peer)
 {
     m_failureCounts.removePeer(peer);
--- a/libs/gateway/tests/SlotAllocatorTests.cpp
+++ b/libs/gateway/tests/SlotAllocatorTests.cpp
@@ -7,11 +7,11 @@
 
 constexpr const char* home = "127.0.0.1:2"; // The home node of the engine pool.
 
-RoutingTablePointer routing()
+RoutingTablePointer routing(int engineSlots = 2)
 {
     RoutingDocument document;
     document.version = 1;
-    document.services = { { "reader", 10, 2, 1 } };
+    document.services = { { "reader", 10, engineSlots, 1 } };
     GatewayRoute route;
     route.name = "check";
     route.host = "ramp.example";
@@ -21,9 +21,11 @@
     return RoutingTable::create(document).value();
 }
 
+RoutingTablePointer plainRouting() { return routing(0); }
+
 // An allocator whose engine pool has its home node at a peer, until the peer is found not to respond.
 struct Fixture {
-    Fixture()
+    explicit Fixture(const RoutingTablePointer& table = routing())
     {
         UpstreamDirectory directory;
         directory.put({ "e1", "reader", "127.0.0.1:9", "honda", "v1", 2, false, 1 });
@@ -31,7 +33,7 @@
             { [this](const std::string&) { return isHomeSilent ? std::string("127.0.0.1:1") : std::string(home); },
                 [this](const std::string&, const Message& message) { sent.push_back(message); },
                 [this](const std::string&) { isHomeSilent = true; } });
-        allocator.configure(*routing(), directory);
+        allocator.configure(*table, directory);
     }
 
     SlotRequest makeRequest()
@@ -49,6 +51,7 @@
         const auto request = makeRequest();
         asio::co_spawn(loop, allocator.acquire(request, monotonicNow() + Duration(20000)),
             [this](const std::exception_ptr&, tl::expected<SlotGrant, SlotRefusal> result) { results.push_back(std::move(result)); });
+        loop.restart();
         loop.poll();
         return request.id;
     }
@@ -83,6 +86,30 @@
     CHECK(fixture.allocator.running() == 1);
 }
 
+TEST_CASE("without the home node's answer no upstream with a request limit is used")
+{
+    Fixture fixture;
+    fixture.allocator.setRequestLimits({ { "e1", 100 } });
+    fixture.acquire();
+    REQUIRE(fixture.runUntil([&] { return fixture.isHomeSilent && fixture.results.size() == 1; }));
+    CHECK_FALSE(fixture.results[0]);
+}
+
+TEST_CASE("a pool of plain services has a home node while one of its upstreams has a request limit")
+{
+    Fixture fixture(plainRouting());
+    fixture.acquire();
+    CHECK(fixture.results.size() == 1);
+    CHECK(fixture.sent.empty());
+    fixture.allocator.setRequestLimits({ { "e1", 100 } });
+    fixture.acquire();
+    CHECK(fixture.results.size() == 1);
+    CHECK(std::holds_alternative<SlotRequest>(fixture.sent.at(0)));
+    fixture.allocator.setRequestLimits({});
+    fixture.acquire();
+    CHECK(fixture.sent.size() == 1);
+}
+
 TEST_CASE("a grant that arrives while its caller disconnects is returned unused")
 {
     Fixture fixture;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -277,6 +277,8 @@
     std::string upstream;
     int64_t startedAt = 0; /**< Unix milliseconds of the upstream's start: what it stated holds until it starts again. */
     bool isLeaving = false; /**< It will stop soon and wants no new requests. */
+    int64_t limitAgeMs = -1; /**< Time since the response that stated requestLimit; negative if none is known. */
+    int64_t requestLimit = -1; /**< Requests in 1,000 s that it takes from all nodes together; negative for no limit. */
 
     bool operator==(const UpstreamNotice&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -26,7 +26,7 @@
     else if constexpr (std::is_same_v<Type, QuarantineEntry>)
         return std::tie(record.parts, record.generation, record.remainingMs);
     else if constexpr (std::is_same_v<Type, UpstreamNotice>)
-        return std::tie(record.upstream, record.startedAt, record.isLeaving);
+        return std::tie(record.upstream, record.startedAt, record.isLeaving, record.limitAgeMs, record.requestLimit);
     else if constexpr (std::is_same_v<Type, NamedPeer>)
         return std::tie(record.address, record.dataCentre, record.isDelegate);
     else if constexpr (std::is_same_v<Type, VersionTally>)
--- a/libs/sched/include/sched/PoolScheduler.h
+++ b/libs/sched/include/sched/PoolScheduler.h
@@ -6,6 +6,7 @@
 #include <sched/InFlightByNode.h>
 #include <sched/PoolQueue.h>
 #include <sched/PrefixCacheEstimate.h>
+#include <sched/RequestRateLimit.h>
 #include <sched/SpeedEstimate.h>
 #include <sched/UntrackedLoad.h>
 
@@ -169,6 +170,9 @@
     /** @return how many times an upstream has been checked for a request so far; a measure of the scheduling work. */
     uint64_t upstreamChecks() const { return m_upstreamChecks; }
 
+    /** @return true if the upstream belongs to the pool. */
+    bool has(const std::string& upstream) const { return m_upstreams.contains(upstream); }
+
     /** @return the number of slots in use. */
     std::size_t inFlight() const { return m_slots.size(); }
     int inFlight(const std::string& upstream) const;
@@ -176,6 +180,9 @@
     /** Sets the upstreams that fail many of their requests; they get requests only if no other upstream can take them. */
     void setSuspects(std::set<std::string> suspects) { m_suspects = std::move(suspects); }
 
+    /** Sets the requests a second that upstreams take from all nodes together; those that are missing state no limit. */
+    void setRequestLimits(const std::map<std::string, double>& perSecond, TimePoint now);
+
     /** Sets how many requests a node reports to run at one upstream. */
     void setReportedRunning(const std::string& node, const std::string& upstream, int running);
 
@@ -201,6 +208,7 @@
         Upstream config;
         std::string version; /**< Reported version, or the configured one if none was reported. */
         AdmissionLimit limit;
+        RequestRateLimit requestLimit;
         SpeedEstimate speed;
         PrefixCacheEstimate prefixCache;
         bool isPaused = false;
--- a/libs/sched/src/PoolScheduler.cpp
+++ b/libs/sched/src/PoolScheduler.cpp
@@ -209,7 +209,18 @@
     return m_plan.countsPeerReports ? std::max(known, state.inFlight.load()) : known;
 }
 
-bool PoolScheduler::hasFreeSlot(const UpstreamState& state, TimePoint now) const { return loadOf(state, now) < state.limit.value(now); }
+bool PoolScheduler::hasFreeSlot(const UpstreamState& state, TimePoint now) const
+{
+    return state.requestLimit.mayGrant(now) && loadOf(state, now) < state.limit.value(now);
+}
+
+void PoolScheduler::setRequestLimits(const std::map<std::string, double>& perSecond, TimePoint now)
+{
+    for (auto& [name, state] : m_upstreams) {
+        const auto found = perSecond.find(name);
+        state.requestLimit.set(found == perSecond.end() ? std::nullopt : std::optional(found->second), now);
+    }
+}
 
 int PoolScheduler::topRankInFlight() const
 {
@@ -341,6 +352,7 @@
     auto& state = *choice.upstream;
     state.speed.onDispatch(uncachedTokens(state, waiter.request), now);
     state.prefixCache.onDispatch(waiter.request.prefixes);
+    state.requestLimit.onGrant(now);
     state.lastGrantAt = now;
     const auto& rollout = plan.candidate.empty() ? std::string() : plan.rollout;
     addSlot({ waiter.node, waiter.request, state.config.name, state.version, rollout, now, waiter.deadline + expiryGrace });
