Send nothing to an upstream that has turned this node away for a time

An upstream that turns a request away with 503 may state in Retry-After how long it wants nothing from the node that sent it.

The node excludes the upstream from its slot requests until the time is over and checks once more before each dispatch, since a slot may have been granted earlier; other nodes are not bound. If all upstreams of a service have turned the node away, the caller's Retry-After is the time until the first of them takes requests again.

--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -10,6 +10,7 @@
 #include <gateway/SlotAllocator.h>
 #include <gateway/UpstreamDirectory.h>
 #include <gateway/UpstreamNotices.h>
+#include <gateway/UpstreamPauses.h>
 #include <metrics/Metrics.h>
 #include <net/HttpConnectionPool.h>
 
@@ -64,6 +65,7 @@
     /** Makes sure that the routing is the newest one, by reading its source if need be. @return false if that is not known. */
     std::function<Task<bool>()> confirmRouting {};
     std::map<std::string, Duration> longestTimeouts {}; /**< Longest timeout that callers have sent, by route. */
+    UpstreamPauses pauses {};
     bool isDraining = false;
     int activeRequests = 0;
     std::size_t bufferedBytes = 0; /**< Bytes of response bodies that are read completely before they are forwarded or discarded. */
--- a/libs/gateway/include/gateway/HeaderCodec.h
+++ b/libs/gateway/include/gateway/HeaderCodec.h
@@ -43,6 +43,7 @@
     bool isNotRun = false; /**< The upstream states that it did not run the request. */
     bool isMisdirected = false; /**< Another upstream listens at the address now. */
     std::optional<LoadReport> load;
+    std::optional<Duration> retryAfter; /**< How long a refusing upstream wants no request from this node. */
     std::optional<double> requestLimit; /**< Requests a second that the upstream takes from all nodes together. */
     bool isLeaving = false; /**< The upstream will stop soon and wants no new requests. */
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -371,6 +371,7 @@
         nextSweep = now + connectionSweepInterval;
         m_connectionPool.closeExpired();
         m_notices.dropExcess(m_context.directory);
+        m_context.pauses.expire(now);
     }
 }
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -175,7 +175,8 @@
         request.startTimeoutMs = std::min(timeLeft(m_deadline), plainStartTimeoutFactor * route.targetLatency).count();
     }
     request.prefixes = m_resolved.metadata.prefixes;
-    request.excluded = m_excludedUpstreams;
+    request.excluded = m_context.pauses.upstreams(m_context.directory, m_service, monotonicNow());
+    request.excluded.insert(request.excluded.end(), m_excludedUpstreams.begin(), m_excludedUpstreams.end());
     return request;
 }
 
@@ -276,9 +277,10 @@
 bool RequestTask::isWithheld(Dispatch& current) const
 {
     const auto* upstream = m_context.directory.find(current.upstream.id);
-    current.isWithheld = !upstream || upstream->isDraining;
+    const bool isLeaving = !upstream || upstream->isDraining;
+    current.isWithheld = isLeaving || m_context.pauses.isPaused(*upstream, monotonicNow());
     if (current.isWithheld)
-        current.failure = "the upstream leaves";
+        current.failure = isLeaving ? "the upstream leaves" : "the upstream has asked for a pause";
     return current.isWithheld;
 }
 
@@ -353,7 +355,7 @@
         m_context.slots.reportLoad(m_service, current.upstream.id, *metadata.load);
     const bool isForThisRequest = metadata.requestId.empty() || metadata.requestId == m_resolved.metadata.requestId;
     if (isForThisRequest && !metadata.isMisdirected)
-        m_context.notices.onResponse(current.upstream, metadata, current.firstByteAt);
+        applyStatements(current, head, metadata);
     if (isSuccess(head.status)) {
         const bool isUsable = isForThisRequest && metadata.isSigned && fieldValue(head.fields, "Content-Encoding").empty();
         if (!isUsable) {
@@ -388,6 +390,17 @@
     co_return co_await sendResponse(m_failureResponse->head, m_failureResponse->body) ? Outcome::Completed : Outcome::CallerDisconnected;
 }
 
+void RequestTask::applyStatements(const Dispatch& current, const ResponseHead& head, const ResponseMetadata& metadata)
+{
+    m_context.notices.onResponse(current.upstream, metadata, current.firstByteAt);
+    const bool isRefusal = head.status == httpstatus::serviceUnavailable || head.status == httpstatus::tooManyRequests;
+    if (!isRefusal || !metadata.retryAfter)
+        return;
+    m_context.pauses.onRefused(current.upstream, *metadata.retryAfter, current.firstByteAt);
+    m_context.log.write(events::upstreamNotice,
+        { { "upstream", current.upstream.id }, { "pauseMs", metadata.retryAfter->count() }, { "source", "response" } });
+}
+
 Task<Result<std::string>> RequestTask::readBody(UpstreamConnection& connection, std::size_t limit, TimePoint deadline)
 {
     std::string body;
@@ -564,7 +577,11 @@
     if (auto problem = checkPrompt())
         return *problem;
     const Duration spread(static_cast<int64_t>(stableHash(m_context.node, m_slotRequestId) % retrySpreadMs));
-    const Duration wait = m_refusal ? Duration(m_refusal->retryAfterMs) : spread;
+    Duration wait = m_refusal ? Duration(m_refusal->retryAfterMs) : spread;
+    if (m_refusal && m_refusal->reason == RefusalReason::NoUpstream) {
+        const auto pause = m_context.pauses.shortest(m_context.directory, m_service, monotonicNow());
+        wait = std::max(wait, pause.value_or(wait));
+    }
     return notRunProblem(httpstatus::serviceUnavailable, m_refusal ? toString(m_refusal->reason) : "upstreams-unavailable",
         "no upstream could take the request", m_refusal ? std::max(wait, minRetryAfter) : minRetryAfter + wait);
 }
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -84,6 +84,9 @@
     Task<Outcome> forwardResponse(Dispatch&, UpstreamConnection&, ResponseHead);
     Task<Outcome> forwardStream(Dispatch&, UpstreamConnection&, const ResponseHead&);
     Task<bool> beginStream(const ResponseHead&);
+    /** Applies what the upstream states about itself and about further requests of this node. */
+    void applyStatements(const Dispatch&, const ResponseHead&, const ResponseMetadata&);
+
     Outcome recordFailure(Dispatch&, const Error&) const;
 
     /** Records that the upstream has answered, once a stream has enough events to show it. */
