Don't take a response that names no request for the one to a later request on the same connection

Reported by other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or such a request ran at a second engine (TWICE). Here a copy that names its request was skipped, but one that names none was taken for the response to the current request: a refusal let a sign-off run twice, a success gave a caller the answer of another one (MIXED). Engines name the request in each response, so one without a name is trusted only as the first response on a connection.

Evidence: FaultyResponseTests. Three of seven kinds of copies ran a sign-off at both engines, and the second caller got the first one's body (7 checks failed before, none now). The other two reports did not show: a stream that had begun is never ended by an error of the next upstream (12 kinds of errors), and no response whose head is cut off at any byte is passed on (plain and stream); these cases passed at once.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -314,6 +314,7 @@
     ++m_attempts;
     current.sentAt = monotonicNow();
     current.wasSent = true;
+    current.isConnectionUsed = !ready.isNew;
     m_context.rollouts.onDispatched(m_service, m_resolved.route->name, current.upstream.version);
     auto head = co_await readResponseHead(current, *ready.connection, makeUpstreamRequest(current));
     if (!head)
@@ -321,16 +322,24 @@
     co_return co_await handleResponse(current, *ready.connection, *head);
 }
 
+bool RequestTask::isOwnResponse(const Dispatch& current, const ResponseMetadata& metadata) const
+{
+    if (metadata.requestId.empty())
+        return !current.isConnectionUsed;
+    return metadata.requestId == m_resolved.metadata.requestId;
+}
+
 // Reads the head of the response to this request; skips responses to earlier requests that arrive late on a reused connection.
 Task<Result<ResponseHead>> RequestTask::readResponseHead(Dispatch& current, UpstreamConnection& connection, OutgoingRequest request)
 {
     auto head = co_await connection.exchange(std::move(request), m_deadline);
     for (int skippedResponses = 0; head && skippedResponses < maxStaleResponses; ++skippedResponses) {
-        const auto responseRequestId = m_context.headerCodec.decodeResponse(*head).requestId;
-        if (responseRequestId.empty() || responseRequestId == m_resolved.metadata.requestId)
+        const auto metadata = m_context.headerCodec.decodeResponse(*head);
+        if (isOwnResponse(current, metadata))
             break;
+        current.isConnectionUsed = true;
         m_context.log.write(events::answerDropped,
-            { { "request", m_resolved.metadata.requestId }, { "upstream", current.upstream.id }, { "answers", responseRequestId } });
+            { { "request", m_resolved.metadata.requestId }, { "upstream", current.upstream.id }, { "answers", metadata.requestId } });
         const auto skipped = co_await readBody(connection, maxDiscardedBytes, m_deadline);
         if (!skipped)
             co_return tl::unexpected(skipped.error());
@@ -353,7 +362,7 @@
     current.statesLeaving = metadata.isLeaving;
     if (metadata.load)
         m_context.slots.reportLoad(m_service, current.upstream.id, *metadata.load);
-    const bool isForThisRequest = metadata.requestId.empty() || metadata.requestId == m_resolved.metadata.requestId;
+    const bool isForThisRequest = isOwnResponse(current, metadata);
     if (isForThisRequest && !metadata.isMisdirected)
         applyStatements(current, head, metadata);
     if (isSuccess(head.status)) {
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -46,6 +46,7 @@
         TimePoint firstByteAt {};
         bool statesLeaving = false; /**< The response says that the upstream leaves. */
         int64_t eventCount = 0; /**< Events of a stream that this upstream has sent. */
+        bool isConnectionUsed = false; /**< The connection has carried other responses, so that one of them may come again. */
         bool wasSent = false; /**< The request may have reached the upstream. */
         std::string failure; /**< Why there is no usable response, for the decision log. */
         bool isWithheld = false; /**< Not sent, since the upstream wants no requests now. */
@@ -76,6 +77,9 @@
 
     Task<Outcome> exchange(Dispatch&, AcquiredConnection&);
     Task<Result<ResponseHead>> readResponseHead(Dispatch&, UpstreamConnection&, OutgoingRequest);
+    /** @return true if the response to this request is meant, not one to an earlier request on the same connection. */
+    bool isOwnResponse(const Dispatch&, const ResponseMetadata&) const;
+
     Task<Outcome> handleResponse(Dispatch&, UpstreamConnection&, const ResponseHead&);
 
     /** Reads a body completely. @param limit size in bytes. @return Protocol if the body or all buffered bodies exceed their limit. */
