End a stream at an event without an identifier that follows one with an identifier

Events of a stream have increasing identifiers; once one has been seen, an event without one is as wrong as one out of order. Comments, which keep connections open, still pass, and so do streams that have no identifiers at all.

--- a/libs/gateway/include/gateway/EventStream.h
+++ b/libs/gateway/include/gateway/EventStream.h
@@ -25,7 +25,8 @@
 
     /**
      * Appends bytes of the stream.
-     * @return the events that are complete now, unchanged; Protocol if an event is missing, duplicated or too large.
+     * @return the events that are complete now, unchanged; Protocol if an event is missing, duplicated or too large, or has no
+     *     identifier although an earlier one has.
      */
     Result<std::string> push(std::string_view bytes);
 
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -29,6 +29,9 @@
     return std::nullopt;
 }
 
+// Comments keep a connection open; they are no events.
+bool isComment(std::string_view event) { return event.starts_with(':'); }
+
 } // namespace
 
 EventStream::EventStream(std::optional<int64_t> lastEventId)
@@ -58,6 +61,8 @@
 Result<bool> EventStream::checkEvent(std::string_view event)
 {
     const auto id = parseEventId(event);
+    if (!id && m_lastEventId && !isComment(event))
+        return fail(ErrorCode::Protocol, "an event without an id follows event id " + std::to_string(*m_lastEventId));
     if (!id)
         return true;
     if (m_lastEventId && *id != *m_lastEventId + 1)
--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -86,6 +86,16 @@
     CHECK_FALSE(later.push("id: 9\ndata: x\n\n"));
 }
 
+TEST_CASE("an event without an identifier does not follow one with an identifier, a comment does")
+{
+    EventStream stream(std::nullopt);
+    CHECK(stream.push("data: a\n\nid: 1\ndata: b\n\n: still here\n\n"));
+    CHECK(stream.eventCount() == 1);
+    CHECK_FALSE(stream.push("event: error\ndata: c\n\n"));
+    EventStream resumed(3);
+    CHECK_FALSE(resumed.push("data: error text\n\n"));
+}
+
 TEST_CASE("retries of all nodes together stay within the allowance")
 {
     const RetryAllowance allowance { 0.2, 60, Duration(10000) };
