Take a response whose head is cut off for a failed call in the product's own client

Reported by other operators: an engine stopped in the middle of its response's head and closed, and clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER). The gateway does not do that (FaultyResponseTests), but libcurl, on which bronzeswitchd calls upstreams, does: it takes the end of the connection for the end of a response without a length as soon as the status line is there. The client counts a head as whole only when the empty line after it has arrived; trailer fields and interim responses leave that as it is.

--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -133,6 +133,8 @@
     size_t receiveHeader(std::string_view line)
     {
         recordActivity();
+        const bool isEmpty = line == "\r\n" || line == "\n";
+        m_isHeadComplete = isEmpty || (m_isHeadComplete && !line.starts_with("HTTP/")); // Trailer fields may follow.
         const auto colon = line.find(':');
         if (colon == std::string_view::npos)
             return countKeptBytes(line.size());
@@ -178,6 +180,9 @@
             return makeError(ErrorCode::Timeout, curl_easy_strerror(result));
         if (result != CURLE_OK)
             return makeError(ErrorCode::Unavailable, curl_easy_strerror(result));
+        // libcurl takes a connection that closes within the head for the end of a response without a length.
+        if (!m_isHeadComplete)
+            return makeError(ErrorCode::Unavailable, "the head of the response is incomplete");
         long status = 0;
         curl_easy_getinfo(m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
         m_response.status = static_cast<int>(status);
@@ -195,6 +200,7 @@
     bool m_hasResponseStarted = false;
     bool m_isStoppedByReceiver = false;
     bool m_isTooLarge = false;
+    bool m_isHeadComplete = false; /**< The empty line at the end of the head has arrived. */
     size_t m_keptBytes = 0;
 };
 
--- a/libs/http/tests/HttpTests.cpp
+++ b/libs/http/tests/HttpTests.cpp
@@ -2,8 +2,12 @@
 #include <http/HttpClient.h>
 #include <http/HttpServer.h>
 
+#include <arpa/inet.h>
+#include <array>
 #include <atomic>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace bronzeswitch;
 
@@ -33,6 +37,42 @@
 
 std::string authorityOf(const HttpServer& server) { return "127.0.0.1:" + std::to_string(server.port()); }
 
+// A server that writes the same bytes to each connection after the first bytes of a request and closes it.
+class RawServer {
+public:
+    RawServer()
+        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        REQUIRE(::listen(m_listener, 8) == 0);
+        REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        m_port = ntohs(address.sin_port);
+    }
+
+    ~RawServer() { ::close(m_listener); }
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+
+    void serveOne(const std::string& bytes) const
+    {
+        const int connection = ::accept(m_listener, nullptr, nullptr);
+        std::array<char, 4096> request {};
+        static_cast<void>(::recv(connection, request.data(), request.size(), 0));
+        static_cast<void>(::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+        ::close(connection);
+    }
+
+    std::string authority() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+private:
+    int m_listener;
+    int m_port = 0;
+};
+
 } // namespace
 
 TEST_CASE("a request and its response are transferred with path, query, headers and body")
@@ -145,3 +185,30 @@
     REQUIRE(second);
     CHECK(second->status == 503);
 }
+
+// Callers got a success with an empty or short body when the upstream stopped in the middle of the head of its response.
+TEST_CASE("a response whose head is cut off is a failed call, not a response")
+{
+    const RawServer server;
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
+    for (std::size_t size = 0; size <= head.size(); ++size) {
+        CAPTURE(size);
+        const auto bytes = size == head.size() ? head + "done" : head.substr(0, size);
+        std::thread thread([&] { server.serveOne(bytes); });
+        const auto response = httpCall({ "GET", "/", {}, "", "" }, server.authority(), {});
+        thread.join();
+        CHECK(response.has_value() == (size == head.size()));
+    }
+}
+
+TEST_CASE("a response with an interim response before it and trailer fields after it is whole")
+{
+    const RawServer server;
+    const std::string bytes
+        = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Sum: 7\r\n\r\n";
+    std::thread thread([&] { server.serveOne(bytes); });
+    const auto response = httpCall({ "GET", "/", {}, "", "" }, server.authority(), {});
+    thread.join();
+    REQUIRE(response);
+    CHECK(response->body == "done");
+}
