Announce upstreams' statements in small messages, and let only delegates report them

Now the node that gets the statement sends some 60 bytes to the nodes it knows, once, and again after 5 s for a limit that goes on; only delegates, on which the homes lie, repeat statements in reports, and only those that the directory does not carry. A node that withholds a request from a leaving upstream which its home has granted announces it again, at most each 0.5 s.

Tests: three cases of UpstreamNoticesTests; LeavingTests and RequestLimitTests hold as before.

--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -54,8 +54,10 @@
      */
     bool setLeaving(const std::string& id, int64_t startedAt);
 
-    /** @return the upstreams with an entry that have stated that they leave, with the starts for which that holds. */
-    std::map<std::string, int64_t> leaving() const;
+    /**
+     * @return the upstreams that have stated that they leave although their entries do not say so, with the starts for which that holds.
+     */
+    std::map<std::string, int64_t> leavingUnlisted() const;
 
     const std::map<std::string, UpstreamEntry>& entries() const { return m_entries; }
     /** @return the entry, or null. */
@@ -63,10 +65,12 @@
 
 private:
     std::map<std::string, UpstreamEntry> m_entries; /**< By identifier. */
+    bool erase(const std::string& id);
     bool hasStatedLeaving(const UpstreamEntry&) const;
     void dropExcessStatements();
 
     std::map<std::string, int64_t> m_leaving; /**< Starts of the upstreams that have stated that they leave, by identifier. */
+    std::set<std::string> m_listedDraining; /**< Upstreams whose entries say that they leave. */
     std::map<std::string, TimePoint> m_pendingRemovals; /**< When delayed removals are due, by identifier. */
 };
 
--- a/libs/gateway/include/gateway/UpstreamNotices.h
+++ b/libs/gateway/include/gateway/UpstreamNotices.h
@@ -16,9 +16,11 @@
 /**
  * Applies what upstreams state about themselves in their responses, together with the other nodes.
  *
- * An upstream's own statement is newer than the directory, and reaches this node also while the directory's source does not. Reports
- * repeat the statements, so no message has to arrive. That an upstream leaves holds until it starts again. A request limit holds until
- * a later response states another one or none; of what several nodes have been told, the latest statement counts.
+ * An upstream's own statement is newer than the directory, and reaches this node also while the directory's source does not. The node
+ * that gets it announces it to the nodes that it knows, among them all delegates, on which the homes of pools lie; the
+ * delegates' reports to each other repeat the statements, so no message has to arrive. That an upstream leaves holds until it starts again.
+ * A request limit holds until a later response states another one or none; of what several nodes have been told, the latest statement
+ * counts.
  *
  *     notices.onResponse(upstream, metadata);
  *     report.notices = notices.entries(directory);
@@ -29,7 +31,7 @@
     struct Callbacks {
         std::function<bool(const std::function<bool(UpstreamDirectory&)>&)> updateDirectory; /**< See GatewayNode::updateDirectory(). */
         std::function<void()> onLimitChange; /**< Called when requestLimits() has changed. */
-        std::function<void()> onChange; /**< Called when a notice has begun or ended to hold, so that the next report comes soon. */
+        std::function<void(const Message&)> broadcast; /**< Sends to all known nodes. */
     };
 
     explicit UpstreamNotices(DecisionLog&);
@@ -39,7 +41,10 @@
     /** Processes what an upstream states in a response to a request of this node. */
     void onResponse(const UpstreamEntry&, const ResponseMetadata&, TimePoint now);
 
-    /** Processes the notices that a peer has reported. */
+    /** Announces again that an upstream leaves: its home, which has granted a slot there, does not know. Limited to once in a while. */
+    void onWithheld(const UpstreamEntry&, TimePoint now);
+
+    /** Processes the notices that a peer has announced or reported. */
     void onPeerNotices(const std::string& from, const std::vector<UpstreamNotice>&, TimePoint now);
 
     /** @return the notices of upstreams in the directory, for this node's reports. */
@@ -58,12 +63,18 @@
         TimePoint statedAt {};
     };
 
-    void setLeaving(const std::string& upstream, int64_t startedAt, const std::string& source);
-    void setLimit(const std::string& upstream, const LimitStatement&, const std::string& source);
+    /** @return true if that is new to the directory. */
+    bool setLeaving(const std::string& upstream, int64_t startedAt, const std::string& source);
+    void onLimitResponse(const UpstreamEntry&, std::optional<double> perSecond, TimePoint now);
+
+    /** @return true if the limit is new or has changed considerably. */
+    bool setLimit(const std::string& upstream, const LimitStatement&, const std::string& source);
+    void announce(const UpstreamNotice&, TimePoint now);
     void addLimits(std::map<std::string, UpstreamNotice>&, const UpstreamDirectory&, TimePoint now) const;
 
     DecisionLog& m_log;
     Callbacks m_callbacks;
+    std::map<std::string, TimePoint> m_announcedAt; /**< When this node last announced something about an upstream. */
     std::map<std::string, LimitStatement> m_limits; /**< The latest statements of upstreams that have stated a limit, by identifier. */
 };
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -40,8 +40,7 @@
         comparable.rollouts[index].elapsedMs = last.rollouts[index].elapsedMs;
     for (std::size_t index = 0; index < std::min(comparable.quarantines.size(), last.quarantines.size()); ++index)
         comparable.quarantines[index].remainingMs = last.quarantines[index].remainingMs;
-    for (std::size_t index = 0; index < std::min(comparable.notices.size(), last.notices.size()); ++index)
-        comparable.notices[index].limitAgeMs = last.notices[index].limitAgeMs;
+    comparable.notices = last.notices; // Announced at once.
     return comparable != last;
 }
 
@@ -227,6 +226,10 @@
         m_stateCallbacks.applyChanges(update->changes);
         return;
     }
+    if (const auto* update = std::get_if<NoticeUpdate>(&*message)) {
+        m_notices.onPeerNotices(sender, update->notices, monotonicNow());
+        return;
+    }
     const auto* report = std::get_if<NodeReport>(&*message);
     if (!report) {
         if (!m_quotas.onMessage(sender, *message) && !m_prompts.onMessage(sender, *message))
@@ -291,7 +294,8 @@
     report.knownNodes = m_peers.directNodeCount();
     report.isSourceReachable = m_isSourceReachable;
     report.quarantines = m_prompts.entries();
-    report.notices = m_notices.entries(m_context.directory, monotonicNow());
+    if (m_isDelegate)
+        report.notices = m_notices.entries(m_context.directory, monotonicNow());
     return report;
 }
 
@@ -303,6 +307,7 @@
         sendBytes(address, withLoads);
     report.hasLoads = false;
     report.loads.clear();
+    report.notices.clear();
     const auto withoutLoads = encode(report);
     for (const auto& address : targets.withoutLoads)
         sendBytes(address, withoutLoads);
@@ -395,7 +400,8 @@
 void GatewayNode::connectNotices()
 {
     m_notices.connect({ [this](const std::function<bool(UpstreamDirectory&)>& change) { return updateDirectory(change); },
-        [this] { m_slots.setRequestLimits(m_notices.requestLimits(m_context.directory)); }, [this] { reportNow(); } });
+        [this] { m_slots.setRequestLimits(m_notices.requestLimits(m_context.directory)); },
+        [this](const Message& message) { broadcast(message); } });
 }
 
 // The delegates' reports reach all nodes.
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -248,7 +248,7 @@
         co_return Outcome::NotRun;
     }
     current.upstream = *upstream;
-    if (isWithheld(current))
+    if (withhold(current))
         co_return Outcome::NotRun;
     const auto endpoint = parseEndpoint(upstream->address);
     if (!endpoint) {
@@ -262,7 +262,7 @@
         current.failure = "connect: " + ready.error().message;
         co_return Outcome::NotRun;
     }
-    if (isWithheld(current)) {
+    if (withhold(current)) {
         m_context.connectionPool.release(std::move(ready->connection));
         co_return Outcome::NotRun;
     }
@@ -274,13 +274,15 @@
     co_return outcome;
 }
 
-bool RequestTask::isWithheld(Dispatch& current) const
+bool RequestTask::withhold(Dispatch& current)
 {
     const auto* upstream = m_context.directory.find(current.upstream.id);
     const bool isLeaving = !upstream || upstream->isDraining;
     current.isWithheld = isLeaving || m_context.pauses.isPaused(*upstream, monotonicNow());
     if (current.isWithheld)
         current.failure = isLeaving ? "the upstream leaves" : "the upstream has asked for a pause";
+    if (upstream && isLeaving)
+        m_context.notices.onWithheld(*upstream, monotonicNow());
     return current.isWithheld;
 }
 
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -72,8 +72,11 @@
 
     Task<Outcome> dispatch(Dispatch&);
 
-    /** Checks that the upstream wants requests, to this node's own knowledge, which may be newer than that of the slot's grantor. */
-    bool isWithheld(Dispatch&) const;
+    /**
+     * Checks whether the upstream wants requests, to this node's own knowledge, which may be newer than that of the slot's grantor.
+     * @return true if it wants none, so that the request must not be sent there.
+     */
+    bool withhold(Dispatch&);
 
     Task<Outcome> exchange(Dispatch&, AcquiredConnection&);
     Task<Result<ResponseHead>> readResponseHead(Dispatch&, UpstreamConnection&, OutgoingRequest);
--- a/libs/gateway/src/UpstreamDirectory.cpp
+++ b/libs/gateway/src/UpstreamDirectory.cpp
@@ -13,6 +13,10 @@
 bool UpstreamDirectory::put(const UpstreamEntry& entry)
 {
     m_pendingRemovals.erase(entry.id);
+    if (entry.isDraining)
+        m_listedDraining.insert(entry.id);
+    else
+        m_listedDraining.erase(entry.id);
     auto current = entry;
     current.isDraining = entry.isDraining || hasStatedLeaving(entry);
     auto& known = m_entries[entry.id];
@@ -47,12 +51,12 @@
         std::erase_if(m_leaving, [this](const auto& item) { return !m_entries.contains(item.first); });
 }
 
-std::map<std::string, int64_t> UpstreamDirectory::leaving() const
+std::map<std::string, int64_t> UpstreamDirectory::leavingUnlisted() const
 {
     std::map<std::string, int64_t> result;
     std::copy_if(m_leaving.begin(), m_leaving.end(), std::inserter(result, result.end()), [this](const auto& item) {
         const auto* entry = find(item.first);
-        return entry && hasStatedLeaving(*entry);
+        return entry && hasStatedLeaving(*entry) && !m_listedDraining.contains(item.first);
     });
     return result;
 }
@@ -66,6 +70,12 @@
         return false;
     }
     m_pendingRemovals.erase(id);
+    return erase(id);
+}
+
+bool UpstreamDirectory::erase(const std::string& id)
+{
+    m_listedDraining.erase(id);
     return m_entries.erase(id) > 0;
 }
 
@@ -90,7 +100,7 @@
             ++removal;
             continue;
         }
-        isChanged |= m_entries.erase(removal->first) > 0;
+        isChanged |= erase(removal->first);
         removal = m_pendingRemovals.erase(removal);
     }
     return isChanged;
--- a/libs/gateway/src/UpstreamNotices.cpp
+++ b/libs/gateway/src/UpstreamNotices.cpp
@@ -9,6 +9,12 @@
 
 constexpr Duration maxReportedAge { 30000 }; // Limits of upstreams that get requests are stated again sooner.
 constexpr std::size_t maxLimits = 4096; // More than upstreams exist.
+constexpr std::size_t maxReportedNotices = 64;
+constexpr Duration announcementInterval {
+    5000
+}; // For a limit that goes on; reports carry it as long as it is younger than maxReportedAge.
+constexpr Duration reminderInterval { 500 };
+constexpr double considerableChange = 0.1; // Part of a limit.
 constexpr double limitUnit = 1000; // Reports carry requests in this number of seconds.
 
 // Returns true if the upstream that made a statement is the one that the directory knows, not an earlier start of it.
@@ -25,6 +31,13 @@
     return limit < 0 ? std::nullopt : std::optional(static_cast<double>(limit) / limitUnit);
 }
 
+bool isConsiderableChange(std::optional<double> before, std::optional<double> after)
+{
+    if (!before || !after)
+        return before.has_value() != after.has_value();
+    return std::abs(*before - *after) > considerableChange * *before;
+}
+
 } // namespace
 
 UpstreamNotices::UpstreamNotices(DecisionLog& log)
@@ -36,10 +49,30 @@
 
 void UpstreamNotices::onResponse(const UpstreamEntry& upstream, const ResponseMetadata& metadata, TimePoint now)
 {
-    if (metadata.isLeaving)
-        setLeaving(upstream.id, upstream.startedAt, "response");
+    if (metadata.isLeaving && setLeaving(upstream.id, upstream.startedAt, "response"))
+        announce({ upstream.id, upstream.startedAt, true }, now);
     if (metadata.requestLimit || m_limits.contains(upstream.id))
-        setLimit(upstream.id, { upstream.startedAt, fromReported(toReported(metadata.requestLimit)), now }, "response");
+        onLimitResponse(upstream, metadata.requestLimit, now);
+}
+
+void UpstreamNotices::onLimitResponse(const UpstreamEntry& upstream, std::optional<double> perSecond, TimePoint now)
+{
+    const auto reported = toReported(perSecond);
+    const bool isNews = setLimit(upstream.id, { upstream.startedAt, fromReported(reported), now }, "response");
+    if (isNews || (perSecond && now - m_announcedAt[upstream.id] > announcementInterval))
+        announce({ upstream.id, upstream.startedAt, false, 0, reported }, now);
+}
+
+void UpstreamNotices::onWithheld(const UpstreamEntry& upstream, TimePoint now)
+{
+    if (upstream.isDraining && now - m_announcedAt[upstream.id] > reminderInterval)
+        announce({ upstream.id, upstream.startedAt, true }, now);
+}
+
+void UpstreamNotices::announce(const UpstreamNotice& notice, TimePoint now)
+{
+    m_announcedAt[notice.upstream] = now;
+    m_callbacks.broadcast(NoticeUpdate { { notice } });
 }
 
 void UpstreamNotices::onPeerNotices(const std::string& from, const std::vector<UpstreamNotice>& notices, TimePoint now)
@@ -53,41 +86,42 @@
     }
 }
 
-void UpstreamNotices::setLeaving(const std::string& upstream, int64_t startedAt, const std::string& source)
+bool UpstreamNotices::setLeaving(const std::string& upstream, int64_t startedAt, const std::string& source)
 {
     if (!m_callbacks.updateDirectory([&](UpstreamDirectory& directory) { return directory.setLeaving(upstream, startedAt); }))
-        return;
+        return false;
     m_log.write(events::upstreamNotice, { { "upstream", upstream }, { "leaving", true }, { "source", source } });
-    m_callbacks.onChange();
+    return true;
 }
 
-void UpstreamNotices::setLimit(const std::string& upstream, const LimitStatement& statement, const std::string& source)
+bool UpstreamNotices::setLimit(const std::string& upstream, const LimitStatement& statement, const std::string& source)
 {
     auto& known = m_limits[upstream];
     const bool isOutdated
         = statement.startedAt < known.startedAt || (statement.startedAt == known.startedAt && statement.statedAt <= known.statedAt);
     if (isOutdated)
-        return;
+        return false;
     const auto before = std::exchange(known, statement);
     if (before.perSecond == statement.perSecond && before.startedAt == statement.startedAt)
-        return;
+        return false;
     m_log.write(events::upstreamNotice,
         { { "upstream", upstream }, { "requestsPerSecond", statement.perSecond ? nlohmann::json(*statement.perSecond) : nlohmann::json() },
             { "source", source } });
     m_callbacks.onLimitChange();
-    if (before.perSecond.has_value() != statement.perSecond.has_value())
-        m_callbacks.onChange();
+    return isConsiderableChange(before.perSecond, statement.perSecond);
 }
 
 std::vector<UpstreamNotice> UpstreamNotices::entries(const UpstreamDirectory& directory, TimePoint now) const
 {
     std::map<std::string, UpstreamNotice> notices;
-    for (const auto& [upstream, startedAt] : directory.leaving())
+    for (const auto& [upstream, startedAt] : directory.leavingUnlisted())
         notices[upstream] = { upstream, startedAt, true };
     addLimits(notices, directory, now);
     std::vector<UpstreamNotice> result;
-    for (auto& [upstream, notice] : notices)
-        result.push_back(std::move(notice));
+    for (auto& [upstream, notice] : notices) {
+        if (result.size() < maxReportedNotices)
+            result.push_back(std::move(notice));
+    }
     return result;
 }
 
@@ -117,8 +151,10 @@
 
 void UpstreamNotices::dropExcess(const UpstreamDirectory& directory)
 {
+    const auto isUnlisted = [&](const auto& item) { return !directory.find(item.first); };
     if (m_limits.size() > maxLimits)
-        std::erase_if(m_limits, [&](const auto& item) { return !directory.find(item.first); });
+        std::erase_if(m_limits, isUnlisted);
+    std::erase_if(m_announcedAt, isUnlisted);
 }
 
 } // namespace bronzeswitch
--- a/libs/gateway/tests/UpstreamNoticesTests.cpp
+++ b/libs/gateway/tests/UpstreamNoticesTests.cpp
@@ -15,8 +15,9 @@
     Fixture()
     {
         directory.put(makeEntry());
-        notices.connect({ [this](const std::function<bool(UpstreamDirectory&)>& change) { return change(directory); },
-            [this] { ++limitChanges; }, [this] { ++changes; } });
+        notices.connect(
+            { [this](const std::function<bool(UpstreamDirectory&)>& change) { return change(directory); }, [this] { ++limitChanges; },
+                [this](const Message& message) { announced.push_back(std::get<NoticeUpdate>(message).notices.at(0)); } });
     }
 
     void respond(std::optional<double> limit, TimePoint now)
@@ -33,7 +34,7 @@
     UpstreamDirectory directory;
     UpstreamNotices notices { log };
     int limitChanges = 0;
-    int changes = 0;
+    std::vector<UpstreamNotice> announced;
 };
 
 const std::map<std::string, double> noLimits;
@@ -51,11 +52,12 @@
     CHECK(fixture.limitChanges == 1);
     fixture.respond(1.3, start + Duration(200));
     CHECK(fixture.limits().at("e1") == 1.3);
-    CHECK(fixture.changes == 1);
+    CHECK(fixture.announced == std::vector<UpstreamNotice> { { "e1", startedAt, false, 0, 1400 } });
     fixture.respond(std::nullopt, start + Duration(300));
     CHECK(fixture.limits() == noLimits);
     CHECK(fixture.limitChanges == 3);
-    CHECK(fixture.changes == 2);
+    REQUIRE(fixture.announced.size() == 2);
+    CHECK(fixture.announced[1] == UpstreamNotice { "e1", startedAt, false, 0, -1 });
 }
 
 TEST_CASE("of what several nodes have been told about an upstream's limit, the latest statement counts")
@@ -108,6 +110,36 @@
     CHECK(fixture.directory.find("e1")->isDraining);
 }
 
+TEST_CASE("what a node learns from a peer is not announced again, and a limit that goes on is announced once in a while")
+{
+    Fixture fixture;
+    fixture.notices.onPeerNotices("n2", { { "e1", startedAt, true, 0, 2000 } }, start);
+    CHECK(fixture.announced.empty());
+    for (int response = 0; response < 20; ++response)
+        fixture.respond(2.1, start + Duration(1000 * (response + 1)));
+    CHECK(fixture.announced.size() == 4);
+    fixture.respond(1.0, start + Duration(20100));
+    CHECK(fixture.announced.size() == 5);
+}
+
+TEST_CASE("reports repeat that an upstream leaves only while its entry does not say so")
+{
+    Fixture fixture;
+    ResponseMetadata leaving;
+    leaving.isLeaving = true;
+    fixture.notices.onResponse(makeEntry(), leaving, start);
+    CHECK(fixture.announced.size() == 1);
+    CHECK(fixture.notices.entries(fixture.directory, start).size() == 1);
+    auto listed = makeEntry();
+    listed.isDraining = true;
+    fixture.directory.put(listed);
+    CHECK(fixture.notices.entries(fixture.directory, start).empty());
+    fixture.notices.onWithheld(*fixture.directory.find("e1"), start + Duration(100));
+    CHECK(fixture.announced.size() == 1);
+    fixture.notices.onWithheld(*fixture.directory.find("e1"), start + Duration(1000));
+    CHECK(fixture.announced.size() == 2);
+}
+
 TEST_CASE("a peer's malformed notice about a limit changes nothing")
 {
     Fixture fixture;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -304,7 +304,7 @@
     int knownNodes = 0; /**< Nodes that the sender has heard of itself recently, including itself. */
     bool isSourceReachable = true; /**< False if the sender has recently failed to reach the source of routing and directory. */
     std::vector<QuarantineEntry> quarantines; /**< Those in force at the sender. */
-    std::vector<UpstreamNotice> notices; /**< Of upstreams in the sender's directory. */
+    std::vector<UpstreamNotice> notices; /**< Of upstreams in the sender's directory. Only delegates exchange them. */
 
     bool operator==(const NodeReport&) const = default;
 };
@@ -354,6 +354,13 @@
     bool operator==(const QuotaShareReturn&) const = default;
 };
 
+/** Announces what upstreams have just stated in responses to the sender's requests. */
+struct NoticeUpdate {
+    std::vector<UpstreamNotice> notices;
+
+    bool operator==(const NoticeUpdate&) const = default;
+};
+
 /** Reports a request that was lost together with its upstream before the upstream had answered it. */
 struct PromptLoss {
     std::string upstream;
@@ -385,10 +392,10 @@
 };
 
 /** Any message between nodes. The index of its type is its type number on the wire, so new types are added at the end. */
-using Message
-    = std::variant<Hello, Heartbeat, HeartbeatAck, StateRequest, StateOffer, SlotRequest, SlotGrant, SlotRefusal, SlotCancel, SlotRelease,
-        SlotInUse, ClaimRequest, ClaimResponse, ClaimOutcome, RolloutAlarm, ClaimDeclaration, ClaimDeclarationAck, NodeReport, SlotQueued,
-        StateUpdate, QuotaRequest, QuotaResponse, QuotaShareLoan, QuotaShareReturn, PromptLoss, PromptPartsQuery, PromptPartsAnswered>;
+using Message = std::variant<Hello, Heartbeat, HeartbeatAck, StateRequest, StateOffer, SlotRequest, SlotGrant, SlotRefusal, SlotCancel,
+    SlotRelease, SlotInUse, ClaimRequest, ClaimResponse, ClaimOutcome, RolloutAlarm, ClaimDeclaration, ClaimDeclarationAck, NodeReport,
+    SlotQueued, StateUpdate, QuotaRequest, QuotaResponse, QuotaShareLoan, QuotaShareReturn, PromptLoss, PromptPartsQuery,
+    PromptPartsAnswered, NoticeUpdate>;
 
 /** @return the message as a CBOR array of its type number and its fields. */
 std::string encode(const Message&);
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -83,6 +83,8 @@
             message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.suspects, message.peers,
             message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable,
             message.quarantines, message.notices);
+    else if constexpr (std::is_same_v<Type, NoticeUpdate>)
+        return std::tie(message.notices);
     else if constexpr (std::is_same_v<Type, PromptLoss>)
         return std::tie(message.upstream, message.parts);
     else if constexpr (std::is_same_v<Type, PromptPartsQuery> || std::is_same_v<Type, PromptPartsAnswered>)
