--- a/libs/base/include/base/TimerService.h
+++ b/libs/base/include/base/TimerService.h
@@ -14,6 +14,9 @@
 /** Converts a duration to seconds with a fraction. */
 double toSeconds(TimePoint::duration);
 
+/** @return a duration in milliseconds. */
+double toMilliseconds(TimePoint::duration);
+
 /**
  * Provides monotonic time and periodic callbacks.
  *
--- a/libs/base/src/TimerService.cpp
+++ b/libs/base/src/TimerService.cpp
@@ -10,6 +10,8 @@
 
 double toSeconds(TimePoint::duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+double toMilliseconds(TimePoint::duration duration) { return toSeconds(duration) * millisecondsPerSecond; }
+
 class TimerService::Impl {
 public:
     explicit Impl(bool isManual)
--- /dev/null
+++ b/libs/gateway/src/Dispatch.cpp
@@ -0,0 +1,73 @@
+#include "Dispatch.h"
+
+#include <cmath>
+
+namespace bronzeswitch {
+
+namespace {
+
+constexpr double microsecondsPerSecond = 1e6;
+
+DispatchOutcome toDispatchOutcome(const Dispatch& dispatch, Dispatch::Outcome outcome)
+{
+    switch (outcome) {
+    case Dispatch::Outcome::Completed:
+        return DispatchOutcome::Completed;
+    case Dispatch::Outcome::CallerDisconnected:
+        return DispatchOutcome::Cancelled;
+    case Dispatch::Outcome::NotRun:
+        return dispatch.wasSent || dispatch.isWithheld ? DispatchOutcome::Cancelled : DispatchOutcome::Unreachable;
+    default:
+        return DispatchOutcome::Failed;
+    }
+}
+
+bool hasFirstByte(const Dispatch& dispatch) { return dispatch.firstByteAt > dispatch.sentAt; }
+
+} // namespace
+
+SlotRelease makeSlotRelease(const Dispatch& dispatch, Dispatch::Outcome outcome, int tokensPerEvent, TimePoint now)
+{
+    SlotRelease slotRelease;
+    slotRelease.id = dispatch.grant.id;
+    slotRelease.outcome = toDispatchOutcome(dispatch, outcome);
+    if (hasFirstByte(dispatch))
+        slotRelease.firstTokenMs = static_cast<int>(toMilliseconds(dispatch.firstByteAt - dispatch.sentAt));
+    if (dispatch.eventCount > 1) {
+        const auto tokens = static_cast<double>((dispatch.eventCount - 1) * tokensPerEvent);
+        slotRelease.betweenTokensUs = static_cast<int>(toSeconds(now - dispatch.firstByteAt) / tokens * microsecondsPerSecond);
+    }
+    return slotRelease;
+}
+
+std::optional<VersionObservation> makeVersionObservation(
+    const Dispatch& dispatch, Dispatch::Outcome outcome, bool isDeadlineOver, double betweenTokensMs, TimePoint now)
+{
+    const bool hasUpstreamResponded = outcome == Dispatch::Outcome::Completed || outcome == Dispatch::Outcome::Failed;
+    const bool wasWaitedFor = dispatch.wasSent && (outcome == Dispatch::Outcome::CallerDisconnected || isDeadlineOver);
+    if (!hasUpstreamResponded && !wasWaitedFor)
+        return std::nullopt;
+    VersionObservation observation;
+    observation.isFailed = outcome == Dispatch::Outcome::Failed;
+    // The response times of an upstream that is warming up show nothing about its version.
+    if (!dispatch.upstream.isWarmingUp) {
+        observation.firstByteMs = toMilliseconds((hasFirstByte(dispatch) ? dispatch.firstByteAt : now) - dispatch.sentAt);
+        observation.betweenTokensMs = betweenTokensMs;
+    }
+    return observation;
+}
+
+void describe(nlohmann::json& fields, const Dispatch& dispatch, TimePoint arrivedAt)
+{
+    fields["upstream"] = dispatch.grant.upstream;
+    fields["address"] = dispatch.upstream.address;
+    fields["waitedMs"] = dispatch.wasSent ? std::lround(toMilliseconds(dispatch.sentAt - arrivedAt)) : -1;
+    if (hasFirstByte(dispatch))
+        fields["firstByteMs"] = std::lround(toMilliseconds(dispatch.firstByteAt - dispatch.sentAt));
+    if (dispatch.eventCount)
+        fields["events"] = dispatch.eventCount;
+    if (dispatch.statesLeaving)
+        fields["upstreamLeaving"] = true;
+}
+
+} // namespace bronzeswitch
--- /dev/null
+++ b/libs/gateway/src/Dispatch.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <gateway/RolloutController.h>
+#include <gateway/UpstreamDirectory.h>
+#include <nlohmann/json.hpp>
+#include <protocol/Messages.h>
+
+#include <optional>
+#include <string>
+
+namespace bronzeswitch {
+
+/**
+ * One dispatch of a request to an upstream: what has happened so far, and what its end shows.
+ *
+ *     Dispatch dispatch;
+ *     dispatch.grant = grant;
+ *     ...
+ *     slots.release(dispatch.grant.upstream, makeSlotRelease(dispatch, outcome, tokensPerEvent, now));
+ */
+struct Dispatch {
+    /** How a dispatch ended. */
+    enum class Outcome {
+        Completed, /**< The caller has received the whole response. */
+        Truncated, /**< The caller has received a part of the response and gets no more. */
+        NotRun, /**< The request has not run. */
+        MayHaveRun, /**< The upstream may have run the request; there is no usable response. */
+        Failed, /**< The upstream ran the request and responded with a failure, which is kept for the caller. */
+        CallerDisconnected, /**< The caller closed its connection. */
+    };
+
+    SlotGrant grant;
+    UpstreamEntry upstream;
+    TimePoint sentAt {};
+    TimePoint firstByteAt {};
+    int64_t eventCount = 0; /**< Events of a stream that this upstream has sent. */
+    bool statesLeaving = false; /**< The response says that the upstream leaves. */
+    bool isConnectionUsed = false; /**< The connection has carried other responses, so that one of them may come again. */
+    bool isWithheld = false; /**< Not sent, since the upstream wants no requests now. */
+    bool wasSent = false; /**< The request may have reached the upstream. */
+    bool isLost = false; /**< The upstream broke the connection off. */
+    std::string failure; /**< Why there is no usable response, for the decision log. */
+};
+
+/** @return the release of the dispatch's slot with what was measured. @param tokensPerEvent of the service's streams. */
+SlotRelease makeSlotRelease(const Dispatch&, Dispatch::Outcome, int tokensPerEvent, TimePoint now);
+
+/**
+ * @return what the dispatch shows about the upstream's version; none if it shows nothing, as a broken connection does.
+ * @param isDeadlineOver the request's deadline has passed.
+ * @param betweenTokensMs mean time between tokens in milliseconds, 0 if it was not measured.
+ */
+std::optional<VersionObservation> makeVersionObservation(
+    const Dispatch&, Dispatch::Outcome, bool isDeadlineOver, double betweenTokensMs, TimePoint now);
+
+/** Adds a dispatch to the fields of an event of the decision log. @param arrivedAt arrival of the request. */
+void describe(nlohmann::json& fields, const Dispatch&, TimePoint arrivedAt);
+
+} // namespace bronzeswitch
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -26,8 +26,6 @@
 constexpr int64_t eventsOfAnswer = 2; // An upstream that crashes with its first event may have sent it.
 constexpr int plainStartTimeoutFactor = 2; // Of the target latency; a plain request that waits longer for a slot is refused.
 
-double toMs(TimePoint::duration duration) { return toSeconds(duration) * millisecondsPerSecond; }
-
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 bool isServerFailure(int status) { return status >= 500; }
 
@@ -511,50 +509,14 @@
 
 void RequestTask::releaseSlot(const Dispatch& current, Outcome outcome)
 {
-    SlotRelease slotRelease;
-    slotRelease.id = m_slotRequestId;
+    const auto now = monotonicNow();
+    const auto* service = m_resolved.routing->findService(m_service);
+    auto slotRelease = makeSlotRelease(current, outcome, service ? service->tokensPerEvent : 1, now);
     slotRelease.outputTokens = m_resolved.metadata.outputTokens;
-    switch (outcome) {
-    case Outcome::Completed:
-        slotRelease.outcome = DispatchOutcome::Completed;
-        break;
-    case Outcome::CallerDisconnected:
-        slotRelease.outcome = DispatchOutcome::Cancelled;
-        break;
-    case Outcome::NotRun:
-        slotRelease.outcome = current.wasSent || current.isWithheld ? DispatchOutcome::Cancelled : DispatchOutcome::Unreachable;
-        break;
-    default:
-        slotRelease.outcome = DispatchOutcome::Failed;
-    }
-    if (current.firstByteAt > current.sentAt)
-        slotRelease.firstTokenMs = static_cast<int>(toMs(current.firstByteAt - current.sentAt));
-    if (const auto* service = m_resolved.routing->findService(m_service); service && current.eventCount > 1) {
-        const double perToken
-            = toSeconds(monotonicNow() - current.firstByteAt) / static_cast<double>((current.eventCount - 1) * service->tokensPerEvent);
-        constexpr double microsecondsPerSecond = 1e6;
-        slotRelease.betweenTokensUs = static_cast<int>(perToken * microsecondsPerSecond);
-    }
     m_context.slots.release(current.grant.upstream, slotRelease);
-    reportVersionResult(current, outcome, slotRelease.betweenTokensUs / millisecondsPerSecond);
-}
-
-// Reports to the rollout what the dispatch shows about the upstream's version. A broken connection shows nothing about it, and
-// neither do the response times of an upstream that is warming up.
-void RequestTask::reportVersionResult(const Dispatch& current, Outcome outcome, double betweenTokensMs)
-{
-    const bool hasUpstreamResponded = outcome == Outcome::Completed || outcome == Outcome::Failed;
-    const bool wasWaitedFor = current.wasSent && (outcome == Outcome::CallerDisconnected || monotonicNow() >= m_deadline);
-    if (!hasUpstreamResponded && !wasWaitedFor)
-        return;
-    VersionObservation observation;
-    observation.isFailed = outcome == Outcome::Failed;
-    if (!current.upstream.isWarmingUp) {
-        const auto until = current.firstByteAt > current.sentAt ? current.firstByteAt : monotonicNow();
-        observation.firstByteMs = toMs(until - current.sentAt);
-        observation.betweenTokensMs = betweenTokensMs;
-    }
-    m_context.rollouts.onResponse(m_service, m_resolved.route->name, current.upstream.version, observation);
+    const double betweenTokensMs = slotRelease.betweenTokensUs / millisecondsPerSecond;
+    if (const auto observation = makeVersionObservation(current, outcome, now >= m_deadline, betweenTokensMs, now))
+        m_context.rollouts.onResponse(m_service, m_resolved.route->name, current.upstream.version, *observation);
 }
 
 Task<bool> RequestTask::respondToFailure(Outcome worstOutcome)
@@ -620,27 +582,16 @@
 
 nlohmann::json RequestTask::describe() const
 {
-    nlohmann::json fields { { "request", m_resolved.metadata.requestId }, { "ageMs", std::lround(toMs(monotonicNow() - m_arrivedAt)) },
-        { "attempts", m_attempts }, { "routing", m_resolved.routing ? m_resolved.routing->version() : 0 } };
-    if (m_resolved.metadata.promptTokens) {
-        fields["promptTokens"] = *m_resolved.metadata.promptTokens;
-        fields["outputTokens"] = m_resolved.metadata.outputTokens;
-        if (m_resolved.metadata.expectedTokens)
-            fields["expectedTokens"] = *m_resolved.metadata.expectedTokens;
-    }
-    if (m_resolved.route) {
-        fields["route"] = m_resolved.route->name;
-        fields["kind"] = toString(m_resolved.route->kind);
-        fields["rank"] = m_resolved.rank();
-    }
-    if (m_resolved.organisation)
-        fields["organisation"] = m_resolved.organisation->name;
+    nlohmann::json fields { { "request", m_resolved.metadata.requestId },
+        { "ageMs", std::lround(toMilliseconds(monotonicNow() - m_arrivedAt)) }, { "attempts", m_attempts },
+        { "routing", m_resolved.routing ? m_resolved.routing->version() : 0 } };
+    m_resolved.describe(fields);
     if (m_quotaResult) {
         fields["quotaTokens"] = m_quotaResult->decision.tokens;
         fields["quotaBalance"] = m_quotaResult->decision.balance;
         fields["quotaShare"] = m_quotaResult->decision.share;
         fields["quotaHome"] = m_quotaResult->home;
-        fields["quotaAgeMs"] = std::lround(toMs(monotonicNow() - m_quotaDecidedAt));
+        fields["quotaAgeMs"] = std::lround(toMilliseconds(monotonicNow() - m_quotaDecidedAt));
     }
     return fields;
 }
@@ -648,15 +599,7 @@
 void RequestTask::logDispatch(const Dispatch& current, Outcome outcome) const
 {
     auto fields = describe();
-    fields["upstream"] = current.grant.upstream;
-    fields["address"] = current.upstream.address;
-    fields["waitedMs"] = current.wasSent ? std::lround(toMs(current.sentAt - m_arrivedAt)) : -1;
-    if (current.firstByteAt > current.sentAt)
-        fields["firstByteMs"] = std::lround(toMs(current.firstByteAt - current.sentAt));
-    if (current.eventCount)
-        fields["events"] = current.eventCount;
-    if (current.statesLeaving)
-        fields["upstreamLeaving"] = true;
+    bronzeswitch::describe(fields, current, m_arrivedAt);
     if (outcome == Outcome::Completed) {
         m_context.metrics.countRequest(m_resolved.route->rank, "completed");
         m_context.metrics.observeLatency("first-byte", m_resolved.route->name, toSeconds(current.firstByteAt - m_arrivedAt));
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Dispatch.h"
 #include "ResolvedRequest.h"
 
 #include <gateway/EventStream.h>
@@ -28,30 +29,7 @@
     Task<bool> run();
 
 private:
-    /** How a dispatch ended. */
-    enum class Outcome {
-        Completed, /**< The caller has received the whole response. */
-        Truncated, /**< The caller has received a part of the response and gets no more. */
-        NotRun, /**< The request has not run. */
-        MayHaveRun, /**< The upstream may have run the request; there is no usable response. */
-        Failed, /**< The upstream ran the request and responded with a failure, which is kept for the caller. */
-        CallerDisconnected, /**< The caller closed its connection. */
-    };
-
-    /** One dispatch of the request to an upstream. */
-    struct Dispatch {
-        SlotGrant grant;
-        UpstreamEntry upstream;
-        TimePoint sentAt {};
-        TimePoint firstByteAt {};
-        bool statesLeaving = false; /**< The response says that the upstream leaves. */
-        int64_t eventCount = 0; /**< Events of a stream that this upstream has sent. */
-        bool isConnectionUsed = false; /**< The connection has carried other responses, so that one of them may come again. */
-        bool wasSent = false; /**< The request may have reached the upstream. */
-        std::string failure; /**< Why there is no usable response, for the decision log. */
-        bool isWithheld = false; /**< Not sent, since the upstream wants no requests now. */
-        bool isLost = false; /**< The upstream broke the connection off. */
-    };
+    using Outcome = Dispatch::Outcome;
 
     void setDeadlines();
 
@@ -98,12 +76,13 @@
 
     /** Records that the upstream has answered, once a stream has enough events to show it. */
     void onFirstEvents(const Dispatch&, int64_t eventCountBefore);
+
+    /** Returns the slot and reports what the dispatch shows about the upstream and its version. */
     void releaseSlot(const Dispatch&, Outcome);
+
     /** Records what a dispatch shows about the parts of the prompt. */
     void reportPromptResult(const Dispatch&, Outcome);
 
-    void reportVersionResult(const Dispatch&, Outcome, double betweenTokensMs);
-
     /** Decides on a retry and takes it out of the service's retry budget. */
     bool mayRetry(Outcome, const Dispatch&);
 
--- a/libs/gateway/src/ResolvedRequest.cpp
+++ b/libs/gateway/src/ResolvedRequest.cpp
@@ -56,6 +56,23 @@
     return organisation && organisation->rank ? *organisation->rank * routeRankCount + routeRank : routeRank;
 }
 
+void ResolvedRequest::describe(nlohmann::json& fields) const
+{
+    if (metadata.promptTokens) {
+        fields["promptTokens"] = *metadata.promptTokens;
+        fields["outputTokens"] = metadata.outputTokens;
+        if (metadata.expectedTokens)
+            fields["expectedTokens"] = *metadata.expectedTokens;
+    }
+    if (route) {
+        fields["route"] = route->name;
+        fields["kind"] = toString(route->kind);
+        fields["rank"] = rank();
+    }
+    if (organisation)
+        fields["organisation"] = organisation->name;
+}
+
 ResolvedRequest resolveRequest(const GatewayContext& context, const FullHttpRequest& request)
 {
     ResolvedRequest resolved;
--- a/libs/gateway/src/ResolvedRequest.h
+++ b/libs/gateway/src/ResolvedRequest.h
@@ -2,6 +2,7 @@
 
 #include <base/Problem.h>
 #include <gateway/GatewayContext.h>
+#include <nlohmann/json.hpp>
 
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
 
     /** @return the priority of the request: by its organisation's rank, then by its route's. 0 is the highest. */
     int rank() const;
+
+    /** Adds what is known of the request to the fields of an event of the decision log. */
+    void describe(nlohmann::json& fields) const;
 };
 
 /** Decodes a request's metadata and finds its route and organisation. */
