--- a/libs/gateway/include/gateway/UpstreamNotices.h
+++ b/libs/gateway/include/gateway/UpstreamNotices.h
@@ -19,7 +19,7 @@
  * An upstream's own statement is newer than the directory, and reaches this node also while the directory's source does not. The node
  * that gets it announces it to the nodes that it knows, among them all delegates, on which the homes of pools lie; the
  * delegates' reports to each other repeat the statements, so no message has to arrive. That an upstream leaves holds until it starts again.
- * A request limit holds until a later response states another one or none; of what several nodes have been told, the latest statement
+ * A request limit holds until a later response states another one or none; of the statements of several nodes, the latest
  * counts.
  *
  *     notices.onResponse(upstream, metadata);
--- a/libs/gateway/tests/UpstreamNoticesTests.cpp
+++ b/libs/gateway/tests/UpstreamNoticesTests.cpp
@@ -60,7 +60,7 @@
     CHECK(fixture.announced[1] == UpstreamNotice { "e1", startedAt, false, 0, -1 });
 }
 
-TEST_CASE("of what several nodes have been told about an upstream's limit, the latest statement counts")
+TEST_CASE("of several nodes' statements about an upstream's limit, the latest counts")
 {
     Fixture fixture;
     fixture.notices.onPeerNotices("n2", { { "e1", startedAt, false, 100, 2000 } }, start);
