--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -62,9 +62,10 @@
 
     /**
      * Changes the directory by a function that returns true if anything changed; then the schedulers are configured again.
+     * @param cause what the log line of a change shows about its cause.
      * @return the result of the function.
      */
-    bool updateDirectory(const std::function<bool(UpstreamDirectory&)>&);
+    bool updateDirectory(const std::function<bool(UpstreamDirectory&)>&, nlohmann::json cause = nlohmann::json::object());
 
     /**
      * Ranks this node among the live nodes for reading the source of routing and directory. All nodes rank each other alike, so they
--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -22,6 +22,7 @@
     bool isDraining = false;
     bool isWarmingUp = false; /**< Slower than usual because it has just started. */
     int64_t startedAt = 0; /**< Unix milliseconds of its start; 0 if unknown. */
+    std::optional<int64_t> sequence {}; /**< Rises with each write of the entry, and begins anew with each start of the upstream. */
 
     bool operator==(const UpstreamEntry&) const = default;
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -171,12 +171,14 @@
     m_slots.setRequestLimits(m_notices.requestLimits(m_context.directory));
 }
 
-bool GatewayNode::updateDirectory(const std::function<bool(UpstreamDirectory&)>& change)
+bool GatewayNode::updateDirectory(const std::function<bool(UpstreamDirectory&)>& change, nlohmann::json cause)
 {
     const bool wasReady = isReady();
     if (!change(m_context.directory))
         return false;
-    m_log.write(events::upstreamsChanged, { { "upstreams", m_context.directory.entries().size() }, { "offset", directoryOffset() } });
+    cause["upstreams"] = m_context.directory.entries().size();
+    cause["directoryOffset"] = directoryOffset();
+    m_log.write(events::upstreamsChanged, std::move(cause));
     configureSlots();
     if (!wasReady && isReady())
         m_log.write(events::ready, { { "version", m_context.routing->version() } });
@@ -365,7 +367,7 @@
             m_log.write(events::membersChanged, { { "lost", address }, { "members", m_peers.liveNodeCount() } });
         for (const auto& address : lost)
             m_slots.onPeerLost(address);
-        updateDirectory([&](UpstreamDirectory& directory) { return directory.expire(now); });
+        updateDirectory([&](UpstreamDirectory& directory) { return directory.expire(now); }, { { "graceOver", true } });
         advanceRollouts(now);
         m_slots.tick();
         m_quotas.tick();
--- a/libs/gateway/src/UpstreamDirectory.cpp
+++ b/libs/gateway/src/UpstreamDirectory.cpp
@@ -8,6 +8,12 @@
 
 constexpr std::size_t maxLeaving = 4096; // More than upstreams exist; only statements of upstreams without an entry are dropped.
 
+bool isSameExceptSequence(UpstreamEntry left, const UpstreamEntry& right)
+{
+    left.sequence = right.sequence;
+    return left == right;
+}
+
 } // namespace
 
 bool UpstreamDirectory::put(const UpstreamEntry& entry)
@@ -20,10 +26,9 @@
     auto current = entry;
     current.isDraining = entry.isDraining || hasStatedLeaving(entry);
     auto& known = m_entries[entry.id];
-    if (known == current)
-        return false;
+    const bool isChanged = !isSameExceptSequence(known, current);
     known = current;
-    return true;
+    return isChanged;
 }
 
 bool UpstreamDirectory::hasStatedLeaving(const UpstreamEntry& entry) const
