--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -153,6 +153,58 @@
     CHECK(directory.remove("e2", grace, start));
 }
 
+TEST_CASE("an entry that its upstream wrote before the known one is outdated, and after a removal so is the last one")
+{
+    constexpr int64_t born = 1780000000000;
+    const auto entryOf = [](int64_t startedAt, std::optional<int64_t> sequence, bool isDraining) {
+        auto entry = makeEntry("e1");
+        entry.startedAt = startedAt;
+        entry.sequence = sequence;
+        entry.isDraining = isDraining;
+        return entry;
+    };
+    UpstreamDirectory directory;
+    directory.put(entryOf(born, 5, true));
+    CHECK_FALSE(directory.put(entryOf(born, 4, false)));
+    CHECK_FALSE(directory.put(entryOf(born - 1, 9, false)));
+    CHECK(directory.find("e1")->isDraining);
+    directory.remove("e1", start, {});
+    CHECK_FALSE(directory.put(entryOf(born, 5, false)));
+    CHECK(directory.put(entryOf(born, 6, false)));
+    directory.remove("e1", start, {});
+    CHECK(directory.put(entryOf(born + 1, 1, false)));
+    directory.remove("e1", start, {});
+    CHECK(directory.put(entryOf(born, std::nullopt, false))); // Without a number the order is unknown.
+}
+
+TEST_CASE("an upstream whose entry returns within the grace period may write it with the same number")
+{
+    UpstreamDirectory directory;
+    auto entry = makeEntry("e1");
+    entry.startedAt = 1780000000000;
+    entry.sequence = 5;
+    directory.put(entry);
+    directory.remove("e1", start, start + Duration(2000));
+    directory.put(entry);
+    CHECK_FALSE(directory.expire(start + Duration(2000)));
+}
+
+TEST_CASE("that an upstream leaves holds for its earlier starts too, and ends with a later one")
+{
+    UpstreamDirectory directory;
+    auto entry = makeEntry("e1");
+    entry.startedAt = 7;
+    directory.setLeaving("e1", 7);
+    directory.put(entry);
+    CHECK(directory.find("e1")->isDraining);
+    entry.startedAt = 6;
+    directory.put(entry);
+    CHECK(directory.find("e1")->isDraining);
+    entry.startedAt = 8;
+    directory.put(entry);
+    CHECK_FALSE(directory.find("e1")->isDraining);
+}
+
 TEST_CASE("one node reads the directory, others take over one after the other, and none waits longer than 1.5 s")
 {
     const SourceReadPolicy policy;
