Keep an older entry of an upstream from replacing a newer one

Callers' requests reached an upstream that had said that it leaves. A node ordered the entries of an upstream by the offsets of the store alone. A write that is carried out late, or the contents of a store that is restored from an older copy, give an older entry the higher offset: "ready" replaced "draining", and a removed upstream was back.

Entries carry the upstream's start and a number that rises with each write. The directory now compares these, and keeps the last entry of a removed upstream for five minutes, after which only a later one counts; an upstream that lives writes one with each heartbeat. During the grace after an outage the same entry counts, since it may be written again. Entries without a start or a number are ordered as before.

--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -30,22 +30,31 @@
 /**
  * The known upstreams, kept up to date by the changes that are read from the source of routing and directory.
  *
+ * An upstream numbers the entries that it writes. One that it wrote before the known one may arrive late, or come back when the source
+ * is restored from a copy; it is outdated and changes nothing. After a removal, so is the last known entry itself.
+ *
  * While the source is unreachable to the upstreams, they can't renew their entries, so that entries of running upstreams
  * expire. Removals that are reported soon after such an outage are therefore delayed, so that an upstream can write its entry
  * again before it is dropped.
  */
 class UpstreamDirectory {
 public:
-    /** Adds or updates an entry, and cancels a delayed removal. @return true if it is new or more than its heartbeat has changed. */
+    /**
+     * Adds or updates an entry, and cancels a delayed removal. An outdated entry is ignored.
+     * @return true if it is new or more than its heartbeat has changed.
+     */
     bool put(const UpstreamEntry&);
 
+    /** @return true if the upstream has written the entry before the last known one; false if their order is unknown. */
+    bool isOutdated(const UpstreamEntry&) const;
+
     /** Removes an entry. @param graceUntil the removal is delayed until then. @return true if the entry was removed now. */
     bool remove(const std::string& id, TimePoint now, TimePoint graceUntil);
 
     /** Removes, or delays the removal of, all entries but those listed. @return true if any was removed now. */
     bool retain(const std::set<std::string>& ids, TimePoint now, TimePoint graceUntil);
 
-    /** Carries out the delayed removals that are due. @return true if any entry was removed. */
+    /** Carries out the delayed removals that are due, and forgets removals of long ago. @return true if any entry was removed. */
     bool expire(TimePoint now);
 
     /**
@@ -65,11 +74,18 @@
     const UpstreamEntry* find(const std::string& id) const;
 
 private:
-    std::map<std::string, UpstreamEntry> m_entries; /**< By identifier. */
-    bool erase(const std::string& id);
+    /** The last entry that was removed of an upstream. */
+    struct RemovedEntry {
+        UpstreamEntry entry;
+        TimePoint removedAt {};
+    };
+
+    bool erase(const std::string& id, TimePoint now);
     bool hasStatedLeaving(const UpstreamEntry&) const;
     void dropExcessStatements();
 
+    std::map<std::string, UpstreamEntry> m_entries; /**< By identifier. */
+    std::map<std::string, RemovedEntry> m_removed; /**< By identifier, for a time. */
     std::map<std::string, int64_t> m_leaving; /**< Starts of the upstreams that have stated that they leave, by identifier. */
     std::set<std::string> m_listedDraining; /**< Upstreams whose entries say that they leave. */
     std::map<std::string, TimePoint> m_pendingRemovals; /**< When delayed removals are due, by identifier. */
--- a/libs/gateway/src/UpstreamDirectory.cpp
+++ b/libs/gateway/src/UpstreamDirectory.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <compare>
 #include <gateway/UpstreamDirectory.h>
 #include <iterator>
 
@@ -6,8 +7,18 @@
 
 namespace {
 
+constexpr Duration removalMemory { 300000 }; // Longer than late writes take, and than the source may lose changes.
 constexpr std::size_t maxLeaving = 4096; // More than upstreams exist; only statements of upstreams without an entry are dropped.
 
+// Compares by start and number; nothing if either is unknown.
+std::optional<std::strong_ordering> compareAge(const UpstreamEntry& left, const UpstreamEntry& right)
+{
+    const auto hasOrder = [](const UpstreamEntry& entry) { return entry.startedAt && entry.sequence; };
+    if (!hasOrder(left) || !hasOrder(right))
+        return std::nullopt;
+    return std::pair(left.startedAt, *left.sequence) <=> std::pair(right.startedAt, *right.sequence);
+}
+
 bool isSameExceptSequence(UpstreamEntry left, const UpstreamEntry& right)
 {
     left.sequence = right.sequence;
@@ -16,8 +27,22 @@
 
 } // namespace
 
+bool UpstreamDirectory::isOutdated(const UpstreamEntry& entry) const
+{
+    if (const auto* known = find(entry.id))
+        return compareAge(entry, *known) == std::strong_ordering::less;
+    const auto removed = m_removed.find(entry.id);
+    if (removed == m_removed.end())
+        return false;
+    const auto order = compareAge(entry, removed->second.entry);
+    return order && *order != std::strong_ordering::greater;
+}
+
 bool UpstreamDirectory::put(const UpstreamEntry& entry)
 {
+    if (isOutdated(entry))
+        return false;
+    m_removed.erase(entry.id);
     m_pendingRemovals.erase(entry.id);
     if (entry.isDraining)
         m_listedDraining.insert(entry.id);
@@ -75,13 +100,17 @@
         return false;
     }
     m_pendingRemovals.erase(id);
-    return erase(id);
+    return erase(id, now);
 }
 
-bool UpstreamDirectory::erase(const std::string& id)
+bool UpstreamDirectory::erase(const std::string& id, TimePoint now)
 {
     m_listedDraining.erase(id);
-    return m_entries.erase(id) > 0;
+    auto entry = m_entries.extract(id);
+    if (entry.empty())
+        return false;
+    m_removed[id] = { std::move(entry.mapped()), now };
+    return true;
 }
 
 bool UpstreamDirectory::retain(const std::set<std::string>& ids, TimePoint now, TimePoint graceUntil)
@@ -105,9 +134,10 @@
             ++removal;
             continue;
         }
-        isChanged |= erase(removal->first);
+        isChanged |= erase(removal->first, now);
         removal = m_pendingRemovals.erase(removal);
     }
+    std::erase_if(m_removed, [now](const auto& item) { return now - item.second.removedAt > removalMemory; });
     return isChanged;
 }
 
