Bind the statement that an upstream leaves to all starts up to the one that made it

A node noted the statement for the start that its directory named, and compared starts for equality. If the upstream had started again while the store was away, the entry of that start then read as ready, and callers' requests reached the upstream after it had said that it leaves; an entry of an earlier start voided the statement too.

The statement now holds for every start until two seconds before the response, and for the one that the directory names; a start that is later than that ends it. An upstream serves on for the drain time after its statement, so the next start under its identifier is later even where clocks differ by two seconds. Notices of leaving and of request limits are separate entries of a report, as their starts may differ.

--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -59,13 +59,13 @@
 
     /**
      * Records that an upstream leaves, which it has stated itself. Holds until it starts again, whatever its entry says.
-     * @param startedAt start of the upstream that leaves, as in its entry.
+     * @param startedAt latest start that leaves; of earlier ones, entries may still come.
      * @return true if its entry has changed.
      */
     bool setLeaving(const std::string& id, int64_t startedAt);
 
     /**
-     * @return the upstreams that have stated that they leave although their entries do not say so, with the starts for which that holds.
+     * @return the upstreams that have stated that they leave although their entries do not say so, with the latest starts for which that holds.
      */
     std::map<std::string, int64_t> leavingUnlisted() const;
 
@@ -86,7 +86,7 @@
 
     std::map<std::string, UpstreamEntry> m_entries; /**< By identifier. */
     std::map<std::string, RemovedEntry> m_removed; /**< By identifier, for a time. */
-    std::map<std::string, int64_t> m_leaving; /**< Starts of the upstreams that have stated that they leave, by identifier. */
+    std::map<std::string, int64_t> m_leaving; /**< Latest starts of the upstreams that have stated that they leave, by identifier. */
     std::set<std::string> m_listedDraining; /**< Upstreams whose entries say that they leave. */
     std::map<std::string, TimePoint> m_pendingRemovals; /**< When delayed removals are due, by identifier. */
 };
--- a/libs/gateway/include/gateway/UpstreamNotices.h
+++ b/libs/gateway/include/gateway/UpstreamNotices.h
@@ -32,6 +32,7 @@
         std::function<bool(const std::function<bool(UpstreamDirectory&)>&)> updateDirectory; /**< See GatewayNode::updateDirectory(). */
         std::function<void()> onLimitChange; /**< Called when requestLimits() has changed. */
         std::function<void(const Message&)> broadcast; /**< Sends to all known nodes. */
+        std::function<int64_t()> unixTime; /**< @return the time of day in Unix milliseconds. */
     };
 
     explicit UpstreamNotices(DecisionLog&);
@@ -65,12 +66,13 @@
 
     /** @return true if that is new to the directory. */
     bool setLeaving(const std::string& upstream, int64_t startedAt, const std::string& source);
+    void onLeavingResponse(const UpstreamEntry&, TimePoint now);
     void onLimitResponse(const UpstreamEntry&, std::optional<double> perSecond, TimePoint now);
 
     /** @return true if the limit is new or has changed considerably. */
     bool setLimit(const std::string& upstream, const LimitStatement&, const std::string& source);
     void announce(const UpstreamNotice&, TimePoint now);
-    void addLimits(std::map<std::string, UpstreamNotice>&, const UpstreamDirectory&, TimePoint now) const;
+    void addLimits(std::vector<UpstreamNotice>&, const UpstreamDirectory&, TimePoint now) const;
 
     DecisionLog& m_log;
     Callbacks m_callbacks;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -403,7 +403,7 @@
 {
     m_notices.connect({ [this](const std::function<bool(UpstreamDirectory&)>& change) { return updateDirectory(change); },
         [this] { m_slots.setRequestLimits(m_notices.requestLimits(m_context.directory)); },
-        [this](const Message& message) { broadcast(message); } });
+        [this](const Message& message) { broadcast(message); }, unixMilliseconds });
 }
 
 // The delegates' reports reach all nodes.
--- a/libs/gateway/src/UpstreamDirectory.cpp
+++ b/libs/gateway/src/UpstreamDirectory.cpp
@@ -59,7 +59,7 @@
 bool UpstreamDirectory::hasStatedLeaving(const UpstreamEntry& entry) const
 {
     const auto found = m_leaving.find(entry.id);
-    return found != m_leaving.end() && found->second == entry.startedAt;
+    return found != m_leaving.end() && entry.startedAt <= found->second;
 }
 
 bool UpstreamDirectory::setLeaving(const std::string& id, int64_t startedAt)
--- a/libs/gateway/src/UpstreamNotices.cpp
+++ b/libs/gateway/src/UpstreamNotices.cpp
@@ -14,6 +14,7 @@
     5000
 }; // For a limit that goes on; reports carry it as long as it is younger than maxReportedAge.
 constexpr Duration reminderInterval { 500 };
+constexpr Duration clockTolerance { 2000 }; // Difference between this node's time of day and an upstream's.
 constexpr double considerableChange = 0.1; // Part of a limit.
 constexpr double limitUnit = 1000; // Reports carry requests in this number of seconds.
 
@@ -24,6 +25,12 @@
     return entry && entry->startedAt == startedAt;
 }
 
+// The directory may still name an earlier start than the one that has responded, which had begun before its response.
+int64_t latestPossibleStart(const UpstreamEntry& upstream, int64_t unixTime)
+{
+    return std::max<int64_t>(upstream.startedAt, unixTime - clockTolerance.count());
+}
+
 int64_t toReported(std::optional<double> perSecond) { return perSecond ? std::llround(std::min(*perSecond, 1e9) * limitUnit) : -1; }
 
 std::optional<double> fromReported(int64_t limit)
@@ -49,12 +56,19 @@
 
 void UpstreamNotices::onResponse(const UpstreamEntry& upstream, const ResponseMetadata& metadata, TimePoint now)
 {
-    if (metadata.isLeaving && setLeaving(upstream.id, upstream.startedAt, "response"))
-        announce({ upstream.id, upstream.startedAt, true }, now);
+    if (metadata.isLeaving)
+        onLeavingResponse(upstream, now);
     if (metadata.requestLimit || m_limits.contains(upstream.id))
         onLimitResponse(upstream, metadata.requestLimit, now);
 }
 
+void UpstreamNotices::onLeavingResponse(const UpstreamEntry& upstream, TimePoint now)
+{
+    const auto latestStart = latestPossibleStart(upstream, m_callbacks.unixTime());
+    if (setLeaving(upstream.id, latestStart, "response"))
+        announce({ upstream.id, latestStart, true }, now);
+}
+
 void UpstreamNotices::onLimitResponse(const UpstreamEntry& upstream, std::optional<double> perSecond, TimePoint now)
 {
     const auto reported = toReported(perSecond);
@@ -113,29 +127,21 @@
 
 std::vector<UpstreamNotice> UpstreamNotices::entries(const UpstreamDirectory& directory, TimePoint now) const
 {
-    std::map<std::string, UpstreamNotice> notices;
-    for (const auto& [upstream, startedAt] : directory.leavingUnlisted())
-        notices[upstream] = { upstream, startedAt, true };
+    std::vector<UpstreamNotice> notices;
+    for (const auto& [upstream, latestStart] : directory.leavingUnlisted())
+        notices.push_back({ upstream, latestStart, true });
     addLimits(notices, directory, now);
-    std::vector<UpstreamNotice> result;
-    for (auto& [upstream, notice] : notices) {
-        if (result.size() < maxReportedNotices)
-            result.push_back(std::move(notice));
-    }
-    return result;
+    notices.resize(std::min(notices.size(), maxReportedNotices));
+    return notices;
 }
 
-void UpstreamNotices::addLimits(std::map<std::string, UpstreamNotice>& notices, const UpstreamDirectory& directory, TimePoint now) const
+void UpstreamNotices::addLimits(std::vector<UpstreamNotice>& notices, const UpstreamDirectory& directory, TimePoint now) const
 {
     for (const auto& [upstream, statement] : m_limits) {
         const auto age = std::chrono::duration_cast<Duration>(now - statement.statedAt);
         if (age > maxReportedAge || !isCurrent(directory, upstream, statement.startedAt))
             continue;
-        auto& notice = notices[upstream];
-        notice.upstream = upstream;
-        notice.startedAt = statement.startedAt;
-        notice.limitAgeMs = age.count();
-        notice.requestLimit = toReported(statement.perSecond);
+        notices.push_back({ upstream, statement.startedAt, false, age.count(), toReported(statement.perSecond) });
     }
 }
 
--- a/libs/gateway/tests/UpstreamNoticesTests.cpp
+++ b/libs/gateway/tests/UpstreamNoticesTests.cpp
@@ -17,7 +17,8 @@
         directory.put(makeEntry());
         notices.connect(
             { [this](const std::function<bool(UpstreamDirectory&)>& change) { return change(directory); }, [this] { ++limitChanges; },
-                [this](const Message& message) { announced.push_back(std::get<NoticeUpdate>(message).notices.at(0)); } });
+                [this](const Message& message) { announced.push_back(std::get<NoticeUpdate>(message).notices.at(0)); },
+                [this] { return unixTime; } });
     }
 
     void respond(std::optional<double> limit, TimePoint now)
@@ -34,6 +35,7 @@
     UpstreamDirectory directory;
     UpstreamNotices notices { log };
     int limitChanges = 0;
+    int64_t unixTime = startedAt + 3000;
     std::vector<UpstreamNotice> announced;
 };
 
@@ -98,6 +100,19 @@
     CHECK(fixture.limits() == noLimits);
 }
 
+TEST_CASE("a statement holds for starts that the directory names later, if they began before it")
+{
+    Fixture fixture;
+    fixture.unixTime = startedAt + 60000;
+    ResponseMetadata leaving;
+    leaving.isLeaving = true;
+    fixture.notices.onResponse(makeEntry(), leaving, start);
+    fixture.directory.put(makeEntry(startedAt + 50000));
+    CHECK(fixture.directory.find("e1")->isDraining);
+    fixture.directory.put(makeEntry(startedAt + 61000));
+    CHECK_FALSE(fixture.directory.find("e1")->isDraining);
+}
+
 TEST_CASE("a response without a statement does not take back that an upstream leaves")
 {
     Fixture fixture;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -275,8 +275,8 @@
 /** What an upstream has stated about itself in its responses. */
 struct UpstreamNotice {
     std::string upstream;
-    int64_t startedAt = 0; /**< Unix milliseconds of the upstream's start: what it stated holds until it starts again. */
-    bool isLeaving = false; /**< It will stop soon and wants no new requests. */
+    int64_t startedAt = 0; /**< Unix milliseconds of the upstream's start: what it stated holds until it starts again later. */
+    bool isLeaving = false; /**< It will stop soon and wants no new requests. Holds for earlier starts too. */
     int64_t limitAgeMs = -1; /**< Time since the response that stated requestLimit; negative if none is known. */
     int64_t requestLimit = -1; /**< Requests in 1,000 s that it takes from all nodes together; negative for no limit. */
 
