Log that the store was restored, and which version of the routing was read in which era

The logs could not show that the store had come back from an older copy, nor tell a version that was read and ignored from one that was not read. Line 227 names the era, the one before and the node's offsets; line 228 names each version that was read or taken from a peer, with its offset and the era.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -51,6 +51,9 @@
 inline constexpr Event dependencyRegained { 225, "dependency-regained", EventLevel::Info,
     "A service that the node depends on can be reached again." };
 inline constexpr Event stateFetched { 226, "state-fetched", EventLevel::Info, "State newer than the node's own was taken from a peer." };
+inline constexpr Event sourceRestored { 227, "source-restored", EventLevel::Warning,
+    "The source of routing and directory has lost changes and came back from an older copy." };
+inline constexpr Event routingRead { 228, "routing-read", EventLevel::Info, "A version of the routing was read, or taken from a peer." };
 inline constexpr Event membersChanged { 300, "members-changed", EventLevel::Info, "The set of live, ready nodes has changed." };
 inline constexpr Event delegateChanged { 301, "delegate-changed", EventLevel::Info,
     "This node begins or ceases to exchange reports with the nodes of all data centres." };
--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -65,7 +65,8 @@
     bool setLeaving(const std::string& id, int64_t startedAt);
 
     /**
-     * @return the upstreams that have stated that they leave although their entries do not say so, with the latest starts for which that holds.
+     * @return the upstreams that have stated that they leave although their entries do not say so, with the latest starts for which that
+     * holds.
      */
     std::map<std::string, int64_t> leavingUnlisted() const;
 
