--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -86,9 +86,9 @@
     /** Sends changes that this node has just read to every peer. @param changes in the encoding of the source. */
     void announceChanges(const std::string& changes);
 
-    /** Sets the offset in the directory's changes up to which this node has read. */
-    void setDirectoryOffset(int64_t offset) { m_stateFetcher.setDirectoryOffset(offset); }
-    int64_t directoryOffset() const { return m_stateFetcher.directoryOffset(); }
+    /** Sets the position in the directory's changes up to which this node has read. */
+    void setDirectoryPosition(const SourcePosition& position) { m_stateFetcher.setDirectoryPosition(position); }
+    const SourcePosition& directoryPosition() const { return m_stateFetcher.directoryPosition(); }
 
     /** Shuts down gracefully: readiness turns off, running requests may end, and the periodic tasks stop. */
     Task<void> drain();
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -140,7 +140,7 @@
     std::vector<StateHolder> newestRoutingHolders(int64_t newerThan, const std::string& dataCentre) const;
 
     /** @return the report of the live peer that has read most of the directory, or null. @param address set to the peer's address. */
-    const NodeReport* newestDirectoryPeer(int64_t newerThan, std::string& address) const;
+    const NodeReport* newestDirectoryPeer(const SourcePosition& newerThan, std::string& address) const;
 
 private:
     struct Peer {
--- a/libs/gateway/include/gateway/StateFetcher.h
+++ b/libs/gateway/include/gateway/StateFetcher.h
@@ -31,9 +31,9 @@
     /** @return true if a peer has a newer routing than this node. */
     bool isRoutingOutdated() const { return !newerRoutingHolders().empty(); }
 
-    /** Sets the offset in the directory's changes up to which this node has read. */
-    void setDirectoryOffset(int64_t offset);
-    int64_t directoryOffset() const { return m_directoryOffset; }
+    /** Sets the position in the directory's changes up to which this node has read. */
+    void setDirectoryPosition(const SourcePosition&);
+    const SourcePosition& directoryPosition() const { return m_directoryPosition; }
 
 private:
     /** A peer that has state which this node lacks. */
@@ -45,7 +45,7 @@
     std::vector<StateHolder> newerRoutingHolders() const;
 
     /**
-     * Looks for a peer that has a newer routing, or that has read more of the directory while this node's offset stays the same.
+     * Looks for a peer that has a newer routing, or that has read more of the directory while this node's position stays the same.
      * @return the peer to fetch from now, or nothing.
      */
     std::optional<Target> chooseTarget();
@@ -60,8 +60,8 @@
     std::string m_dataCentre;
     StateFetchPolicy m_policy;
     std::function<void(const std::string&)> m_applyState;
-    int64_t m_directoryOffset = -1; /**< -1 before the directory has been read. */
-    TimePoint m_directoryOffsetChangedAt {};
+    SourcePosition m_directoryPosition;
+    TimePoint m_directoryPositionChangedAt {};
     std::optional<TimePoint> m_outdatedSince; /**< When this node learned of a newer routing that it still lacks. */
     std::minstd_rand m_random { std::random_device {}() };
     bool m_isStopping = false;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -177,7 +177,7 @@
     if (!change(m_context.directory))
         return false;
     cause["upstreams"] = m_context.directory.entries().size();
-    cause["directoryOffset"] = directoryOffset();
+    cause["directoryOffset"] = directoryPosition().offset;
     m_log.write(events::upstreamsChanged, std::move(cause));
     configureSlots();
     if (!wasReady && isReady())
@@ -286,7 +286,7 @@
     report.isReady = isReady();
     report.isDraining = m_context.isDraining;
     report.routingVersion = m_context.routing ? m_context.routing->version() : 0;
-    report.directoryOffset = directoryOffset();
+    report.directoryPosition = directoryPosition();
     report.loads = m_slots.loads();
     report.suspects = m_slots.suspects();
     report.rollouts = m_rollouts.reports(monotonicNow());
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -255,11 +255,12 @@
     return holders;
 }
 
-const NodeReport* PeerView::newestDirectoryPeer(int64_t newerThan, std::string& address) const
+const NodeReport* PeerView::newestDirectoryPeer(const SourcePosition& newerThan, std::string& address) const
 {
     const NodeReport* best = nullptr;
     for (const auto& [key, peer] : m_peers) {
-        if (!peer.isLive || peer.report.directoryOffset <= newerThan || (best && peer.report.directoryOffset <= best->directoryOffset))
+        if (!peer.isLive || peer.report.directoryPosition <= newerThan
+            || (best && peer.report.directoryPosition <= best->directoryPosition))
             continue;
         best = &peer.report;
         address = key;
--- a/libs/gateway/src/StateFetcher.cpp
+++ b/libs/gateway/src/StateFetcher.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr Duration directoryStaleAfter { 800 }; // Without a change of the directory's offset.
+constexpr Duration directoryStaleAfter { 800 }; // Without a change of the directory's position.
 constexpr std::size_t maxStateBytes = 16UL * 1024 * 1024;
 
 } // namespace
@@ -17,11 +17,11 @@
 {
 }
 
-void StateFetcher::setDirectoryOffset(int64_t offset)
+void StateFetcher::setDirectoryPosition(const SourcePosition& position)
 {
-    if (offset != m_directoryOffset)
-        m_directoryOffsetChangedAt = monotonicNow();
-    m_directoryOffset = offset;
+    if (position != m_directoryPosition)
+        m_directoryPositionChangedAt = monotonicNow();
+    m_directoryPosition = position;
 }
 
 std::vector<StateHolder> StateFetcher::newerRoutingHolders() const
@@ -48,7 +48,7 @@
     }
 }
 
-// The directory changes all the time, so the source is unreachable if this node's offset stays the same while peers advance.
+// The directory changes all the time, so the source is unreachable if this node's position stays the same while peers advance.
 std::optional<StateFetcher::Target> StateFetcher::chooseTarget()
 {
     const auto now = monotonicNow();
@@ -64,7 +64,7 @@
         return address ? std::optional<Target>({ *address, m_context.directory.entries().empty() }) : std::nullopt;
     }
     std::string address;
-    if (now - m_directoryOffsetChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryOffset, address))
+    if (now - m_directoryPositionChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryPosition, address))
         return Target { address, true };
     return std::nullopt;
 }
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -2,6 +2,7 @@
 
 #include <base/Error.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -283,6 +284,17 @@
     bool operator==(const UpstreamNotice&) const = default;
 };
 
+/**
+ * Position in the change log of a source. The source may lose changes and be restored from a copy: then offsets go back and are given
+ * out again, in the next era.
+ */
+struct SourcePosition {
+    int64_t era = 0;
+    int64_t offset = -1; /**< Of the next record; -1 if nothing was read. */
+
+    auto operator<=>(const SourcePosition&) const = default;
+};
+
 /** A node's current state. Sent to its peers periodically, so that a lost report does no harm. */
 struct NodeReport {
     std::string node;
@@ -292,7 +304,7 @@
     bool isReady = false;
     bool isDraining = false;
     int64_t routingVersion = 0;
-    int64_t directoryOffset = 0; /**< Offset up to which the node has read the changes of the upstream directory. */
+    SourcePosition directoryPosition; /**< Up to which the node has read the changes of the upstream directory. */
     bool hasLoads = true; /**< False if the loads are left out because the receiver doesn't need them. */
     std::vector<UpstreamLoad> loads;
     std::vector<std::string> suspects; /**< Upstreams that fail many of their requests, by the counts that the sender knows. */
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -11,9 +11,10 @@
 namespace {
 
 template <typename Field>
-concept NestedRecord = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field,
-    NamedPeer> || std::is_same_v<Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field,
-    RolloutReport> || std::is_same_v<Field, QuarantineEntry> || std::is_same_v<Field, UpstreamNotice>;
+concept NestedRecord
+    = std::is_same_v<Field, PromptPrefix> || std::is_same_v<Field, UpstreamLoad> || std::is_same_v<Field, NamedPeer> || std::is_same_v<
+        Field, VersionTally> || std::is_same_v<Field, RouteTally> || std::is_same_v<Field, RolloutReport> || std::is_same_v<Field,
+        QuarantineEntry> || std::is_same_v<Field, UpstreamNotice> || std::is_same_v<Field, SourcePosition>;
 
 // Returns the fields of a nested record in their order on the wire.
 template <typename T> auto recordFields(T& record)
@@ -27,6 +28,8 @@
         return std::tie(record.parts, record.generation, record.remainingMs);
     else if constexpr (std::is_same_v<Type, UpstreamNotice>)
         return std::tie(record.upstream, record.startedAt, record.isLeaving, record.limitAgeMs, record.requestLimit);
+    else if constexpr (std::is_same_v<Type, SourcePosition>)
+        return std::tie(record.era, record.offset);
     else if constexpr (std::is_same_v<Type, NamedPeer>)
         return std::tie(record.address, record.dataCentre, record.isDelegate);
     else if constexpr (std::is_same_v<Type, VersionTally>)
@@ -80,7 +83,7 @@
         return std::tie(message.groups);
     else if constexpr (std::is_same_v<Type, NodeReport>)
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
-            message.routingVersion, message.directoryOffset, message.hasLoads, message.loads, message.suspects, message.peers,
+            message.routingVersion, message.directoryPosition, message.hasLoads, message.loads, message.suspects, message.peers,
             message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable,
             message.quarantines, message.notices);
     else if constexpr (std::is_same_v<Type, NoticeUpdate>)
