Carry a roll-out over a restore of the store

After the store had come back from an older copy, an order that the operator wrote again got another offset and so began its roll-out anew: the trial of a version that had been completed, with a fresh bound on its exposure, and requests for the old version. The state that the system had recorded was gone and not written again, since its end counted as recorded.

An order's identity has the era of its record. The same order in a later era goes on under its new identity, on all nodes by their reports; one that a later order had replaced stays replaced. When the era rises the records are read again, and a final phase that is missing there is written again.

--- a/libs/gateway/include/gateway/RolloutController.h
+++ b/libs/gateway/include/gateway/RolloutController.h
@@ -4,6 +4,7 @@
 #include <gateway/VersionRule.h>
 #include <trial/ServiceRollout.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -33,7 +34,8 @@
  * Runs this node's part of all rollouts: counts the responses of each version, adds the counts that the peers report, and decides
  * which versions may receive requests.
  *
- * A rollout has ended once its final phase is in the durable record. Until then, nodes that can reach the record write the phases
+ * An order that is written again after its source had lost changes goes on under its new identity. A rollout has ended once its final
+ * phase is in the durable record. Until then, nodes that can reach the record write the phases
  * that are missing there. A node that has not yet read the record after its start does not try a candidate version.
  *
  *     controller.addOrder(order, now);
@@ -46,11 +48,17 @@
 
     RolloutController(ExposureBounds, DecisionLog&);
 
-    /** Starts the rollout of an order, unless its service already has the same or a later order. @return true if it was started. */
+    /**
+     * Starts the rollout of an order, unless its service already has the same or a later order, or had it before.
+     * @return true if it was started.
+     */
     bool addOrder(const RolloutOrder&, TimePoint now);
 
     /** Processes the last phase of an order in the durable record, or no phase if the record does not contain the order yet. */
-    void applyRecord(const std::string& service, int64_t orderId, std::optional<RolloutPhase>);
+    void applyRecord(const RolloutOrder&, std::optional<RolloutPhase>);
+
+    /** Forgets what the durable record contains, since it may have lost changes: it is read again, and what is missing is written again. */
+    void forgetRecords();
 
     /** Counts a request that has been dispatched to an upstream. */
     void onDispatched(const std::string& service, const std::string& route, const std::string& version);
@@ -94,6 +102,8 @@
         {
         }
 
+        void forgetRecord();
+
         /** @return true if the final phase is in the durable record. */
         bool isEndRecorded() const { return recordedPhase && isFinal(*recordedPhase); }
 
@@ -109,6 +119,9 @@
         std::optional<RolloutPhase> rulePhase; /**< Phase of the version rule that is in force on this node. */
     };
 
+    /** @return true if an order of an earlier era, which a later one has replaced, has come back. */
+    bool isReplaced(const RolloutOrder&, const RolloutOrder& known) const;
+    void rememberReplaced(const RolloutOrder&);
     Duration elapsed(const State&, TimePoint now) const;
     std::vector<RouteTally> totals(const State&) const;
     VersionTally* ownTally(const std::string& service, const std::string& route, const std::string& version);
@@ -118,6 +131,7 @@
     ExposureBounds m_bounds;
     DecisionLog& m_log;
     std::map<std::string, State> m_states;
+    std::map<std::string, std::deque<RolloutOrder>> m_replaced; /**< Earlier orders by service, the last ones of each. */
     std::map<std::string, int64_t> m_incarnations;
 };
 
--- a/libs/gateway/src/RolloutController.cpp
+++ b/libs/gateway/src/RolloutController.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr std::size_t maxReplacedOrders = 16; // Of a service.
 constexpr Duration writeFallbackDelay { 1500 }; // After which any node writes, in case the responsible one can't reach the record.
 
 void count(std::vector<int64_t>& buckets, double milliseconds)
@@ -29,20 +30,60 @@
 bool RolloutController::addOrder(const RolloutOrder& order, TimePoint now)
 {
     const auto known = m_states.find(order.service);
-    if (known != m_states.end() && known->second.rollout.order().id >= order.id)
-        return false;
+    if (known != m_states.end()) {
+        auto& state = known->second;
+        const auto knownOrder = state.rollout.order();
+        if (!isLater(order, knownOrder) || isReplaced(order, knownOrder))
+            return false;
+        if (isRewritten(order, knownOrder)) {
+            state.rollout.setIdentity(order);
+            state.forgetRecord();
+            return false;
+        }
+        rememberReplaced(knownOrder);
+    }
     m_states.erase(order.service);
     m_states.try_emplace(order.service, order, m_bounds, now);
     m_log.write(events::rolloutStep,
-        { { "service", order.service }, { "order", order.id }, { "target", order.target }, { "durationMs", order.duration.count() },
-            { "phase", toString(RolloutPhase::Trial) } });
+        { { "service", order.service }, { "order", order.id }, { "era", order.era }, { "target", order.target },
+            { "durationMs", order.duration.count() }, { "phase", toString(RolloutPhase::Trial) } });
     return true;
 }
 
-void RolloutController::applyRecord(const std::string& service, int64_t orderId, std::optional<RolloutPhase> phase)
+bool RolloutController::isReplaced(const RolloutOrder& order, const RolloutOrder& known) const
 {
-    const auto found = m_states.find(service);
-    if (found == m_states.end() || found->second.rollout.order().id != orderId)
+    const auto replaced = m_replaced.find(order.service);
+    if (replaced == m_replaced.end() || order.era <= known.era)
+        return false;
+    return std::any_of(
+        replaced->second.begin(), replaced->second.end(), [&](const RolloutOrder& earlier) { return isRewritten(order, earlier); });
+}
+
+void RolloutController::rememberReplaced(const RolloutOrder& order)
+{
+    auto& replaced = m_replaced[order.service];
+    replaced.push_back(order);
+    if (replaced.size() > maxReplacedOrders)
+        replaced.pop_front();
+}
+
+void RolloutController::State::forgetRecord()
+{
+    isRecordRead = false;
+    recordedPhase.reset();
+    dueSince.reset();
+}
+
+void RolloutController::forgetRecords()
+{
+    for (auto& [service, state] : m_states)
+        state.forgetRecord();
+}
+
+void RolloutController::applyRecord(const RolloutOrder& order, std::optional<RolloutPhase> phase)
+{
+    const auto found = m_states.find(order.service);
+    if (found == m_states.end() || found->second.rollout.order() != order)
         return;
     auto& state = found->second;
     state.isRecordRead = true;
@@ -99,9 +140,10 @@
     }
     for (const auto& report : reports) {
         // This is how a node that can't reach the durable record learns of an order.
-        addOrder({ report.service, report.target, Duration(report.durationMs), report.orderId }, now);
+        const RolloutOrder order { report.service, report.target, Duration(report.durationMs), report.orderId, report.orderEra };
+        addOrder(order, now);
         auto& state = m_states.at(report.service);
-        if (state.rollout.order().id != report.orderId)
+        if (state.rollout.order() != order)
             continue;
         state.peers[peer] = report;
         state.started = std::min(state.started, now - Duration(report.elapsedMs));
@@ -138,7 +180,7 @@
     for (const auto& [service, state] : m_states) {
         const auto& order = state.rollout.order();
         RolloutReport report { service, order.target, order.duration.count(), order.id, state.rollout.phase(), elapsed(state, now).count(),
-            {} };
+            {}, order.era };
         for (const auto& [route, tally] : state.own) {
             if (!state.isEndRecorded())
                 report.routes.push_back(tally);
@@ -218,8 +260,8 @@
 {
     if (!state.isRecordRead || state.isEndRecorded())
         return std::nullopt;
-    if (state.rollout.phase() == RolloutPhase::TakenBack)
-        return RolloutPhase::TakenBack;
+    if (isFinal(state.rollout.phase()))
+        return state.rollout.phase();
     if (state.rollout.isReadyToComplete(elapsed(state, now), state.isStableVersionIdle))
         return RolloutPhase::Completed;
     return state.recordedPhase ? std::nullopt : std::optional(RolloutPhase::Trial);
--- a/libs/gateway/tests/RolloutControllerTests.cpp
+++ b/libs/gateway/tests/RolloutControllerTests.cpp
@@ -33,10 +33,12 @@
     Node node;
     node.controller.addOrder(order, start);
     CHECK(node.controller.headroom("reader") == 0);
-    node.controller.applyRecord("reader", order.id, std::nullopt);
+    node.controller.applyRecord(order, std::nullopt);
     CHECK(node.controller.headroom("reader") > 0);
     // The record of another order does not affect this one.
-    node.controller.applyRecord("reader", order.id - 1, RolloutPhase::TakenBack);
+    auto other = order;
+    --other.id;
+    node.controller.applyRecord(other, RolloutPhase::TakenBack);
     CHECK(node.phase() == RolloutPhase::Trial);
 }
 
@@ -45,7 +47,7 @@
     for (const auto phase : { RolloutPhase::TakenBack, RolloutPhase::Completed }) {
         Node node;
         node.controller.addOrder(order, start);
-        node.controller.applyRecord("reader", order.id, phase);
+        node.controller.applyRecord(order, phase);
         CHECK(node.phase() == phase);
         CHECK(node.controller.unfinishedOrders().empty());
         node.controller.tick(start, true, always, always);
@@ -58,7 +60,7 @@
     Node nodes[3];
     for (auto& node : nodes) {
         node.controller.addOrder(order, start);
-        node.controller.applyRecord("reader", order.id, RolloutPhase::Trial);
+        node.controller.applyRecord(order, RolloutPhase::Trial);
         node.addResponses("v1", 20, false);
         node.addResponses("v2", 2, true);
         node.controller.tick(start, true, never, never);
@@ -79,7 +81,7 @@
     Node peer;
     for (auto* each : { &node, &peer }) {
         each->controller.addOrder(order, start);
-        each->controller.applyRecord("reader", order.id, RolloutPhase::Trial);
+        each->controller.applyRecord(order, RolloutPhase::Trial);
     }
     node.addResponses("v1", 30, false);
     peer.addResponses("v2", 3, true);
@@ -109,13 +111,13 @@
     node.controller.addOrder(order, start);
     node.controller.tick(start, true, never, never);
     CHECK(node.controller.dueRecords(start, always).empty()); // The record has not been read yet.
-    node.controller.applyRecord("reader", order.id, std::nullopt);
+    node.controller.applyRecord(order, std::nullopt);
     node.controller.tick(start, true, never, never);
     CHECK(node.controller.dueRecords(start, never).empty());
     REQUIRE(node.controller.dueRecords(start, always).size() == 1);
     CHECK(node.controller.dueRecords(start, always).front().phase == RolloutPhase::Trial);
     CHECK(node.controller.dueRecords(start + Duration(1500), never).size() == 1);
-    node.controller.applyRecord("reader", order.id, RolloutPhase::Trial);
+    node.controller.applyRecord(order, RolloutPhase::Trial);
     CHECK(node.controller.dueRecords(start + Duration(1500), always).empty());
 }
 
@@ -123,10 +125,61 @@
 {
     Node node;
     CHECK(node.controller.addOrder(order, start));
-    node.controller.applyRecord("reader", order.id, RolloutPhase::TakenBack);
+    node.controller.applyRecord(order, RolloutPhase::TakenBack);
     CHECK_FALSE(node.controller.addOrder({ "reader", "v0", Duration(12000), 6 }, start));
     CHECK_FALSE(node.controller.addOrder(order, start));
     CHECK(node.phase() == RolloutPhase::TakenBack);
     CHECK(node.controller.addOrder({ "reader", "v3", Duration(12000), 9 }, start));
     CHECK(node.phase() == RolloutPhase::Trial);
 }
+
+TEST_CASE("an order that is written again after its source lost changes goes on where it was, on all nodes")
+{
+    Node node;
+    Node peer;
+    for (auto* each : { &node, &peer }) {
+        each->controller.addOrder(order, start);
+        each->controller.applyRecord(order, RolloutPhase::TakenBack);
+    }
+    auto rewritten = order;
+    rewritten.id = 2;
+    rewritten.era = 1;
+    CHECK_FALSE(node.controller.addOrder(rewritten, start));
+    CHECK(node.phase() == RolloutPhase::TakenBack);
+    CHECK(node.controller.unfinishedOrders() == std::vector<RolloutOrder> { rewritten });
+    peer.controller.setPeerReports("n1", 1, node.controller.reports(start), start);
+    CHECK(peer.controller.unfinishedOrders() == std::vector<RolloutOrder> { rewritten });
+    CHECK(peer.phase() == RolloutPhase::TakenBack);
+    // A peer that has not read the new era yet does not take the node back.
+    Node late;
+    late.controller.addOrder(order, start);
+    node.controller.setPeerReports("n3", 1, late.controller.reports(start), start);
+    CHECK(node.phase() == RolloutPhase::TakenBack);
+}
+
+TEST_CASE("an order that a later one has replaced does not come back with an older copy of its source")
+{
+    Node node;
+    node.controller.addOrder(order, start);
+    const RolloutOrder later { "reader", "v3", Duration(12000), 9 };
+    REQUIRE(node.controller.addOrder(later, start));
+    auto restored = order;
+    restored.era = 1;
+    CHECK_FALSE(node.controller.addOrder(restored, start));
+    CHECK(node.controller.rules().at("reader").target == "v3");
+    CHECK(node.controller.addOrder({ "reader", "v4", Duration(12000), 8, 1 }, start));
+}
+
+TEST_CASE("a final phase that the record has lost is due again")
+{
+    for (const auto phase : { RolloutPhase::TakenBack, RolloutPhase::Completed }) {
+        Node node;
+        node.controller.addOrder(order, start);
+        node.controller.applyRecord(order, phase);
+        node.controller.forgetRecords();
+        CHECK(node.controller.dueRecords(start, always).empty());
+        node.controller.applyRecord(order, RolloutPhase::Trial);
+        REQUIRE(node.controller.dueRecords(start, always).size() == 1);
+        CHECK(node.controller.dueRecords(start, always).front().phase == phase);
+    }
+}
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -247,10 +247,11 @@
     std::string service;
     std::string target; /**< The version to move to; the candidate. */
     int64_t durationMs = 0; /**< Time from the order until the rollout should be completed. */
-    int64_t orderId = 0; /**< Identifier of the rollout order; later orders have higher ones. */
+    int64_t orderId = 0; /**< Identifier of the rollout order; later orders of an era have higher ones. */
     RolloutPhase phase = RolloutPhase::Trial;
     int64_t elapsedMs = 0; /**< Time since the order. */
     std::vector<RouteTally> routes;
+    int64_t orderEra = 0; /**< Era of the identifier. */
 
     bool operator==(const RolloutReport&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -37,7 +37,8 @@
     else if constexpr (std::is_same_v<Type, RouteTally>)
         return std::tie(record.route, record.stable, record.candidate);
     else
-        return std::tie(record.service, record.target, record.durationMs, record.orderId, record.phase, record.elapsedMs, record.routes);
+        return std::tie(record.service, record.target, record.durationMs, record.orderId, record.phase, record.elapsedMs, record.routes,
+            record.orderEra);
 }
 
 // Returns the fields of a message or a nested record in their order on the wire.
--- a/libs/trial/include/trial/ServiceRollout.h
+++ b/libs/trial/include/trial/ServiceRollout.h
@@ -15,11 +15,21 @@
     std::string service;
     std::string target; /**< The version to move to; the candidate. */
     Duration duration { 0 }; /**< From the order to the deadline at which the move should be completed. */
-    int64_t id = 0; /**< Increases with each order. */
+    int64_t id = 0; /**< Increases with each order of an era. */
+    int64_t era = 0; /**< Rises when the source of orders has lost changes; then its writers write them again. */
 
     bool operator==(const RolloutOrder&) const = default;
 };
 
+/** @return true if an order has been given after another one. */
+bool isLater(const RolloutOrder&, const RolloutOrder& other);
+
+/** @return true if an order is an earlier one that was written again, or came back, after the source of orders had lost changes. */
+bool isRewritten(const RolloutOrder&, const RolloutOrder& earlier);
+
+/** @return true if two orders are the same one, or the first is the second one written again. */
+bool isSameOrder(const RolloutOrder&, const RolloutOrder& earlier);
+
 /** Upper bound on the requests that a faulty candidate may get between the order and its deadline. */
 struct ExposureBounds {
     double share = 0.1; /**< Share of the service's requests. */
@@ -70,6 +80,9 @@
      */
     void advance(Duration elapsed, bool mayStartMove);
 
+    /** Adopts the identity under which the order was written again. */
+    void setIdentity(const RolloutOrder&);
+
     /** Adopts another node's phase if it is later than this one's. */
     void adopt(RolloutPhase);
 
--- a/libs/trial/src/ServiceRollout.cpp
+++ b/libs/trial/src/ServiceRollout.cpp
@@ -79,6 +79,22 @@
     add(sum.candidate, tally.candidate);
 }
 
+bool isLater(const RolloutOrder& order, const RolloutOrder& other)
+{
+    return std::pair(order.era, order.id) > std::pair(other.era, other.id);
+}
+
+bool isRewritten(const RolloutOrder& order, const RolloutOrder& earlier)
+{
+    return order.era > earlier.era && order.service == earlier.service && order.target == earlier.target;
+}
+
+bool isSameOrder(const RolloutOrder& order, const RolloutOrder& earlier)
+{
+    const bool hasSameIdentity = order.era == earlier.era && order.id == earlier.id;
+    return hasSameIdentity || isRewritten(order, earlier);
+}
+
 bool isFinal(RolloutPhase phase) { return phase == RolloutPhase::TakenBack || phase == RolloutPhase::Completed; }
 
 ServiceRollout::ServiceRollout(RolloutOrder order, ExposureBounds bounds)
@@ -172,6 +188,12 @@
                                       : "no results from the candidate version shortly before the deadline");
 }
 
+void ServiceRollout::setIdentity(const RolloutOrder& order)
+{
+    m_order.id = order.id;
+    m_order.era = order.era;
+}
+
 void ServiceRollout::adopt(RolloutPhase phase)
 {
     if (phase <= m_phase)
