Record the quarantines of prompts again after a restore of the store

The record of quarantines outlasts the loss of all nodes. After the store had come back from a copy without it, it was not written again, since it counted as recorded: a loss of all nodes would then have let crashing prompts reach three more upstreams.

--- a/libs/gateway/include/gateway/PromptGuard.h
+++ b/libs/gateway/include/gateway/PromptGuard.h
@@ -56,6 +56,9 @@
     /** @return true if the quarantines in force differ from the durable record in more than their remaining times. */
     bool differsFromRecord() const;
 
+    /** Forgets what the record contains, since it may be lost: the quarantines in force are recorded again. */
+    void forgetRecord() { m_recorded.clear(); }
+
     /** @return the quarantines in force, for this node's reports. */
     std::vector<QuarantineEntry> entries() const;
 
