Don't take a wake-up without data for a caller that has left

A caller's request was cut with no answer while an upstream worked on it: the watch for a disconnect was woken without data to read (the readiness had been reported, and the data was taken before the handler ran), and an empty non-blocking read counted as a closed connection. It is armed again instead; other errors and the end of the stream count as before.

--- a/libs/net/src/CallerConnection.cpp
+++ b/libs/net/src/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cerrno>
 #include <net/CallerConnection.h>
 
 namespace bronzeswitch {
@@ -106,9 +107,13 @@
     m_stream.socket().async_wait(asio::socket_base::wait_read, [this, watch = m_watch](const boost::system::error_code& error) {
         if (error || !watch->isActive)
             return;
-        watch->isActive = false;
         char byte = 0;
         const auto count = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+            armWatch(); // Woken without data.
+            return;
+        }
+        watch->isActive = false;
         if (count > 0)
             return;
         m_hasDisconnected = true;
