Skip malformed changes and states of peers without an exception

The JSON library throws on an excessive length also where exceptions are turned off. For messages this was known and handled; changes and states of peers, which are encoded apart, went around it: one such message ended the task that receives all datagrams, after which the node knew nothing of its peers. Both now use the parser of the messages, which moved to a header of its own.

--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <protocol/Cbor.h>
 #include <protocol/Messages.h>
 #include <tuple>
 
@@ -244,20 +245,6 @@
     return bytes;
 }
 
-namespace {
-
-// The JSON library throws on an excessive length even if exceptions are disabled.
-json parseCbor(const std::string& bytes)
-{
-    try {
-        return json::from_cbor(bytes, true, false);
-    } catch (const json::exception&) {
-        return json(json::value_t::discarded);
-    }
-}
-
-} // namespace
-
 Result<Message> decode(const std::string& bytes)
 {
     const auto array = parseCbor(bytes);
