End requests in a planned stop by an answer, and begin none late in the grace

Reported by other operators: requests that came late in the grace of a planned stop were passed on, and cut with no answer at its end, among them requests that may not be repeated. Here the listener and idle connections close 2.5 s after the signal, but a request whose body ended later, or that waited for a slot, was still sent to an upstream; and what ran when the grace was over was cut by the end of the process.

From 3 s after the signal nothing is sent to upstreams any more: what has not run is refused with 503 and can go to another node at once. When the grace is over, what still runs is ended by 502 (its outcome is unknown), or by a reset if its response had begun; the process leaves as soon as these are written, 0.3 s later at most.

--- a/libs/gateway/include/gateway/CallerServer.h
+++ b/libs/gateway/include/gateway/CallerServer.h
@@ -25,7 +25,8 @@
 
     /**
      * Shuts down gracefully: marks the node as draining, goes on accepting connections until GatewayBounds::closeListenerAfter, then
-     * closes idle connections and waits for running requests until GatewayBounds::abandonRequestsAfter.
+     * closes idle connections and waits for running requests. After GatewayBounds::lastDispatchAfter, requests that have not run are
+     * refused; after GatewayBounds::abandonRequestsAfter, those that still run are ended.
      */
     Task<void> drain();
 
@@ -36,6 +37,11 @@
     CallerServer(GatewayContext&, TcpAcceptor);
 
     void startConnection(const std::shared_ptr<CallerConnection>&);
+
+    /** Closes connections as they become idle, until none is left or the time is over. */
+    Task<void> closeIdleConnections(TimePoint until);
+    void stopDispatching();
+    void abandonRequests();
     Task<void> handleConnection(std::shared_ptr<CallerConnection>);
     Task<void> respondToReadProblem(CallerConnection&, ReadError);
 
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -15,9 +15,13 @@
 #include <net/HttpConnectionPool.h>
 
 #include <map>
+#include <memory>
+#include <set>
 
 namespace bronzeswitch {
 
+class RequestTask;
+
 /** Estimates how long a caller waits for the next event of a stream, also for the first one, before it gives up. */
 struct StreamEventTimeout {
     Duration minimum { 2000 };
@@ -39,6 +43,8 @@
     StreamEventTimeout streamEventTimeout;
     ExposureBounds exposure;
     Duration closeListenerAfter { 2500 }; /**< Time from the stop signal until new connections are refused. */
+    /** Time from the stop signal until no more requests are sent to upstreams, since they would hardly end in time. */
+    Duration lastDispatchAfter { 3000 };
     Duration abandonRequestsAfter { 7000 }; /**< Time from the stop signal until requests that still run are abandoned. */
 
     bool operator==(const GatewayBounds&) const = default;
@@ -67,7 +73,9 @@
     std::map<std::string, Duration> longestTimeouts {}; /**< Longest timeout that callers have sent, by route. */
     UpstreamPauses pauses {};
     bool isDraining = false;
-    int activeRequests = 0;
+    bool mayDispatch = true; /**< False late in a graceful shutdown: no more requests are sent to upstreams. */
+    /** Shared with the requests, which the event loop may destroy after the node. */
+    std::shared_ptr<std::set<RequestTask*>> activeRequests = std::make_shared<std::set<RequestTask*>>();
     std::size_t bufferedBytes = 0; /**< Bytes of response bodies that are read completely before they are forwarded or discarded. */
 
     RetryBudget& retryBudgetFor(const std::string& service) { return retryBudgets.try_emplace(service, bounds.retries).first->second; }
--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration drainPollInterval { 50 };
 constexpr Duration errorResponseTimeout { 1000 };
+constexpr Duration finalResponseTime { 300 }; // For the responses to abandoned requests.
 
 std::optional<Problem> problemFor(ReadError problem)
 {
@@ -105,16 +106,38 @@
     co_await sleepUntil(m_context.executor, start + m_context.bounds.closeListenerAfter);
     boost::system::error_code error;
     m_acceptor.close(error);
-    while (monotonicNow() < start + m_context.bounds.abandonRequestsAfter) {
+    co_await closeIdleConnections(start + m_context.bounds.lastDispatchAfter);
+    stopDispatching();
+    co_await closeIdleConnections(start + m_context.bounds.abandonRequestsAfter);
+    if (m_connections.empty())
+        co_return;
+    m_context.log.write(events::drainTimedOut, { { "connections", m_connections.size() } });
+    abandonRequests();
+    co_await closeIdleConnections(monotonicNow() + finalResponseTime);
+}
+
+Task<void> CallerServer::closeIdleConnections(TimePoint until)
+{
+    while (!m_connections.empty() && monotonicNow() < until) {
         for (const auto& connection : std::set(m_connections)) {
             if (connection->isIdle())
                 connection->close();
         }
-        if (m_connections.empty())
-            co_return;
         co_await sleepFor(m_context.executor, drainPollInterval);
     }
-    m_context.log.write(events::drainTimedOut, { { "connections", m_connections.size() } });
+}
+
+void CallerServer::stopDispatching()
+{
+    m_context.mayDispatch = false;
+    for (auto* request : std::set(*m_context.activeRequests))
+        request->stopWaiting();
+}
+
+void CallerServer::abandonRequests()
+{
+    for (auto* request : std::set(*m_context.activeRequests))
+        request->abandon();
 }
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -441,12 +441,12 @@
 
 Task<void> GatewayNode::drain()
 {
-    m_log.write(events::stopping, { { "running", m_context.activeRequests } });
+    m_log.write(events::stopping, { { "running", m_context.activeRequests->size() } });
     m_quotas.returnAllShares();
     co_await m_callerServer->drain();
     m_isStopping = true;
     m_stateFetcher.stop();
-    m_log.write(events::stopped, { { "running", m_context.activeRequests } });
+    m_log.write(events::stopped, { { "running", m_context.activeRequests->size() } });
     m_writer.flush();
 }
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -47,19 +47,20 @@
 
 RequestTask::RequestTask(GatewayContext& context, CallerConnection& caller, FullHttpRequest request)
     : m_context(context)
+    , m_activeRequests(context.activeRequests)
     , m_caller(caller)
     , m_request(std::move(request))
     , m_resolved(resolveRequest(context, m_request))
     , m_arrivedAt(monotonicNow())
     , m_deadline(m_arrivedAt)
 {
-    ++m_context.activeRequests;
+    m_activeRequests->insert(this);
 }
 
 RequestTask::~RequestTask()
 {
     m_caller.stopWatching();
-    --m_context.activeRequests;
+    m_activeRequests->erase(this);
 }
 
 Task<bool> RequestTask::run()
@@ -115,6 +116,19 @@
         m_context.slots.cancel(m_slotRequestId);
 }
 
+void RequestTask::stopWaiting()
+{
+    if (!m_activeConnection)
+        m_context.slots.cancel(m_slotRequestId);
+}
+
+void RequestTask::abandon()
+{
+    m_isAbandoned = true;
+    if (m_activeConnection)
+        m_activeConnection->abort();
+}
+
 std::optional<Problem> RequestTask::checkPrompt() const
 {
     const auto remaining = m_context.prompts.remaining(m_resolved.metadata.sharedParts);
@@ -178,6 +192,17 @@
     return request;
 }
 
+Task<tl::expected<SlotGrant, SlotRefusal>> RequestTask::acquireSlot()
+{
+    const auto refusal = tl::unexpected(SlotRefusal { m_slotRequestId, RefusalReason::Draining, 0 });
+    if (!m_context.mayDispatch)
+        co_return refusal;
+    auto grant = co_await m_context.slots.acquire(makeSlotRequest(), m_deadline);
+    if (!grant && !m_context.mayDispatch)
+        co_return refusal;
+    co_return grant;
+}
+
 Task<bool> RequestTask::dispatchWithRetries()
 {
     m_service = chooseService(*m_resolved.route);
@@ -186,7 +211,7 @@
     budget.onRequest(m_arrivedAt);
     Outcome worstOutcome = Outcome::NotRun;
     for (;;) {
-        const auto grant = co_await m_context.slots.acquire(makeSlotRequest(), m_deadline);
+        const auto grant = co_await acquireSlot();
         if (m_hasCallerDisconnected) {
             m_context.log.write(events::callerLeft, describe());
             co_return false;
@@ -225,7 +250,7 @@
 
 bool RequestTask::mayRetry(Outcome outcome, const Dispatch& current)
 {
-    if (outcome == Outcome::Truncated || monotonicNow() >= m_deadline)
+    if (outcome == Outcome::Truncated || m_isAbandoned || monotonicNow() >= m_deadline)
         return false;
     if (!current.wasSent)
         return m_excludedUpstreams.size() <= maxUnreachableUpstreams;
@@ -276,9 +301,10 @@
 {
     const auto* upstream = m_context.directory.find(current.upstream.id);
     const bool isLeaving = !upstream || upstream->isDraining;
-    current.isWithheld = isLeaving || m_context.pauses.isPaused(*upstream, monotonicNow());
+    const bool isPaused = !isLeaving && m_context.pauses.isPaused(*upstream, monotonicNow());
+    current.isWithheld = isLeaving || isPaused || !m_context.mayDispatch;
     if (current.isWithheld)
-        current.failure = isLeaving ? "the upstream leaves" : "the upstream has asked for a pause";
+        current.failure = isLeaving ? "the upstream leaves" : isPaused ? "the upstream has asked for a pause" : "this node stops";
     if (upstream && isLeaving)
         m_context.notices.onWithheld(*upstream, monotonicNow());
     return current.isWithheld;
@@ -352,6 +378,7 @@
 {
     current.failure = error.message;
     current.isLost = error.code == ErrorCode::Unavailable;
+    current.isAbandoned = m_isAbandoned;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
 }
 
@@ -542,6 +569,9 @@
 
 Problem RequestTask::problemAfter(Outcome worstOutcome) const
 {
+    if (worstOutcome != Outcome::NotRun && m_isAbandoned)
+        return { httpstatus::badGateway, "node-stopped", Execution::Unknown, "the node stopped before the upstream had answered",
+            std::nullopt };
     if (worstOutcome != Outcome::NotRun) {
         const bool isLate = monotonicNow() >= m_deadline;
         return { isLate ? httpstatus::gatewayTimeout : httpstatus::badGateway, isLate ? "timeout" : "upstream-failed", Execution::Unknown,
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -8,6 +8,7 @@
 #include <net/CallerConnection.h>
 
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace bronzeswitch {
@@ -28,6 +29,12 @@
     /** Handles the request. @return true if the caller's connection can carry another request. */
     Task<bool> run();
 
+    /** Ends the wait for a slot: the node is about to stop, and sends nothing to upstreams any more. */
+    void stopWaiting();
+
+    /** Ends the request although its upstream has not responded completely: the node stops now. */
+    void abandon();
+
 private:
     using Outcome = Dispatch::Outcome;
 
@@ -45,6 +52,9 @@
     QuotaWaits quotaWaits() const;
     SlotRequest makeSlotRequest();
 
+    /** Waits for a slot. @return the grant, or why there is none. */
+    Task<tl::expected<SlotGrant, SlotRefusal>> acquireSlot();
+
     /** Dispatches the request, again as long as mayRetry() allows. @return true if the caller's connection can be reused. */
     Task<bool> dispatchWithRetries();
 
@@ -116,6 +126,7 @@
     nlohmann::json describe() const;
 
     GatewayContext& m_context;
+    std::shared_ptr<std::set<RequestTask*>> m_activeRequests;
     CallerConnection& m_caller;
     FullHttpRequest m_request;
     ResolvedRequest m_resolved;
@@ -127,6 +138,7 @@
     EventStream m_stream { std::nullopt };
     bool m_hasResponseBegun = false; /**< The head of a response has been sent to the caller. */
     bool m_hasCallerDisconnected = false;
+    bool m_isAbandoned = false; /**< The node stops: its dispatch was ended, and no other one follows. */
     int m_attempts = 0; /**< How often the request has been sent to an upstream. */
     std::optional<FullHttpResponse> m_failureResponse; /**< An upstream's failure response, sent to the caller if no retry succeeds. */
     std::optional<SlotRefusal> m_refusal;
