--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,68 +1,122 @@
-"""HEAD requests with a key that is taken away from the connected client."""
+"""Machines are replaced at new addresses; the settings of the new ones name the removed machines as seeds for a while."""
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from standins import (Engine, Node, Record, Store, configuration, read_head, request_head, route, run_case,  # noqa: E402
-                      temporary_folder)
+from standins import (Engine, Node, Record, Store, configuration, free_port, read_message, request_head, route,  # noqa: E402
+                      run_case, temporary_folder)
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN_STATUS = 71  # Not the status with which Python ends after an error of the case itself.
-REQUESTS = 5
-CONFIG_APPLY_S = 2.0
+SEED_LAG_S = 3.0
+WINDOW_S, OVERSHOOT, SLACK = 8.0, 0.1, 140000
+RATE, BURST = 100000, 100000
+REQUEST_TOKENS = 8000
+CLIENTS = 24
+ATTEMPT_PAUSE_S = 0.15
+LOAD_BEFORE_S, LOAD_AFTER_S = 6.0, 10.0
+BOUND = (RATE * WINDOW_S + BURST) * (1 + OVERSHOOT) + SLACK
 
 
-async def head_request(node, record, attempt):
-    """Sends a HEAD request. Returns its status and the bytes that come after the answer, which should be none."""
-    reader, writer = await asyncio.open_connection(node.address, node.frontend)
-    writer.write(request_head("HEAD", "/lookup/1", attempt, 1500))
-    start, fields = await asyncio.wait_for(read_head(reader), 5)
-    record(f"client {attempt}: HEAD answered {start!r}, content-length {fields.get('content-length')}")
-    try:
-        extra = await asyncio.wait_for(reader.read(4096), 0.5)
-    except asyncio.TimeoutError:
-        extra = b""
-    record(f"client {attempt}: bytes after the answer's head: {extra!r}")
-    writer.close()
-    return int(start.split(" ")[1]), extra
+class Traffic:
+    """A tenant that sends many times its usual: clients that send requests to random nodes that are up."""
+
+    def __init__(self, record):
+        self.record, self.nodes, self.sent, self.count, self.stopped = record, [], {}, 0, False
+        self.statuses = {}
+
+    async def client(self, number):
+        while not self.stopped:
+            self.count += 1
+            attempt = f"{number}-{self.count}"
+            node = self.nodes[self.count % len(self.nodes)]
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(node.address, node.frontend), 1)
+                self.sent[attempt] = time.monotonic()
+                writer.write(request_head("GET", "/lookup/1", attempt, 1500, {"X-Token-Count": f"{REQUEST_TOKENS - 100},100"}))
+                answer = await asyncio.wait_for(read_message(reader), 3)
+                writer.close()
+                status = answer.start.split(" ")[1]
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                status = "none"
+            self.record(f"client sent {attempt} to {node.name}, answered {status}")
+            self.statuses[(node.name, status)] = self.statuses.get((node.name, status), 0) + 1
+            await asyncio.sleep(ATTEMPT_PAUSE_S)
+
+
+def most_in_window(sent, runs):
+    """Returns the most tokens of requests that were sent and run within one window."""
+    arrivals = sorted((run, sent[attempt]) for attempt, run in runs.items())
+    most = 0
+    for _, begin in arrivals:
+        inside = sum(1 for run, start in arrivals if start >= begin and run <= begin + WINDOW_S)
+        most = max(most, inside * REQUEST_TOKENS)
+    return most
 
 
 async def run(folder, record):
     store = Store()
     await store.start()
-    engines = [Engine(store, f"i-{number}", "records", record) for number in (1, 2)]
-    for engine in engines:
-        await engine.start()
+    runs = {}
 
-    def tenants(key):
-        return [{"name": "crews", "api_keys": [key], "unit": "tokens", "uncached_tokens": 200}]
+    async def handle(engine, request, writer):
+        runs[request.get("x-attempt-id")] = time.monotonic()
+        return await Engine.run(engine, request, writer)
 
+    engines = [Engine(store, f"i-{number}", "records", record, handle, slots=16) for number in (1, 2, 3)]
+    for engine in engines:
+        await engine.start()
+    tenants = [{"name": "crews", "api_keys": ["key-1"], "unit": "tokens", "uncached_tokens": 200, "rate_per_s": RATE,
+                "burst": BURST}]
     services = [{"name": "records", "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": False}]
-    store.put("keyed.op", "config", configuration(3, [route("lookup", "idempotent", "records")], services, tenants("key-1")))
-    node = Node("edge-1", store.port, folder, record)
-    node.start()
+    store.put("keyed.op", "config", configuration(3, [route("lookup", "idempotent", "records")], services, tenants))
+    addresses = [f"127.0.0.{number}" for number in range(11, 19)]
+    port = free_port(addresses[0])
+    seeds = [f"{address}:{port}" for address in addresses[:3]]
+    nodes = [Node(f"edge-{number + 1}", store.port, folder, record, address, seeds, peer_port=port)
+             for number, address in enumerate(addresses)]
+    running, added = nodes[:5], nodes[5:]
+    traffic = Traffic(record)
     try:
-        if not await node.wait_ready():
-            return 2
-        await asyncio.sleep(1)
-        status, extra = await head_request(node, record, "warm")
-        if status != 200 or extra:
-            return 2
+        for node in running:
+            node.start()
+        for node in running:
+            if not await node.wait_ready():
+                return 2
+        await asyncio.sleep(10)
+        traffic.nodes = running
+        clients = [asyncio.create_task(traffic.client(number)) for number in range(CLIENTS)]
+        await asyncio.sleep(LOAD_BEFORE_S)
         if TROUBLE:
-            store.put("keyed.op", "config",
-                      configuration(5, [route("lookup", "idempotent", "records")], services, tenants("key-2")))
-            record("a new version of the configuration takes the key away")
-            await asyncio.sleep(CONFIG_APPLY_S + 0.5)
-        broken = 0
-        for number in range(REQUESTS):
-            status, extra = await head_request(node, record, f"head-{number}")
-            broken += 1 if extra else 0
-        record(f"answers to HEAD with bytes after their head: {broken} of {REQUESTS}")
-        return 1 if broken else 0
+            traffic.nodes = running[3:]
+            for node in running[:3]:
+                node.end()
+            record("edge-1 to edge-3 are removed for good; edge-6 to edge-8 are added with the same seeds")
+            for node in added:
+                node.start()
+            for node in added:
+                if not await node.wait_ready():
+                    return 2
+            traffic.nodes = running[3:] + added
+            await asyncio.sleep(SEED_LAG_S)
+            for node in added:
+                node.write_settings(seeds=[f"{address}:{port}" for address in addresses[3:6]])
+            record("the settings name edge-4 to edge-6 as seeds")
+        await asyncio.sleep(LOAD_AFTER_S)
+        traffic.stopped = True
+        await asyncio.gather(*clients)
     finally:
-        node.end()
+        for node in nodes:
+            node.end()
+    most = most_in_window(traffic.sent, runs)
+    record(f"answers by node and status: {traffic.statuses}")
+    record(f"most tokens sent and run in {WINDOW_S} s: {most}, bound {BOUND:.0f}")
+    if not runs:
+        return 2
+    return 1 if most > BOUND else 0
 
 
 def main():
