--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -171,7 +171,7 @@
         self.runs = []
         self.sequence = 0
         self.born = int(time.time() * 1000)
-        self.is_up = True
+        self.version = "v1"
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
@@ -181,7 +181,7 @@
 
     def entry(self, state="ready"):
         self.sequence += 1
-        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "barranca", "version": "v1",
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "barranca", "version": self.version,
                 "slots": self.slots, "state": state, "cold_remaining_ms": 0, "sequence": self.sequence, "born": self.born}
 
     async def beat(self):
@@ -191,7 +191,6 @@
 
     def crash(self):
         """Ends like a crashed engine: no new connections, open ones are reset, no more heartbeats."""
-        self.is_up = False
         self.beats.cancel()
         self.server.close()
         for writer in list(self.writers):
