Count the nodes by a registry in the store, not by who is heard

Cause: a node's share of a quota is one part in as many nodes as have reported to it. A node that had got no report counted itself alone, and after 0.7 s used the whole quota. Silence stood for absence. The same number divides the retry budget's slack, and "no peers" made a node the leader of a roll-out.

Ruled out: that the old nodes took the new ones' reports too late.

Change: nodes register in the store, and a node that starts reads all registrations, contacts some of the nodes, and counts them all. One node of those that hear each other renews the registrations of all of them every 10 s in one write, so nodes that are cut off stay registered through a registrar of their own. A registration that nobody renews in four intervals in which the registrar could read and write expires. A node uses shares, retries from the slack and roll-outs only once it knows the number, and either hears a peer or was registered before it started. It may learn the number from a peer.

Why this works: of two nodes that start at the same time, one reads the other, since each writes before it reads; and a node can't hold a routing without having reached the store or a peer, so it gets the number on the way of the routing.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -57,6 +57,10 @@
 inline constexpr Event membersChanged { 300, "members-changed", EventLevel::Info, "The set of live, ready nodes has changed." };
 inline constexpr Event delegateChanged { 301, "delegate-changed", EventLevel::Info,
     "This node begins or ceases to exchange reports with the nodes of all data centres." };
+inline constexpr Event fleetCounted { 302, "fleet-counted", EventLevel::Info,
+    "The number of registered nodes has become known to this node, or has changed." };
+inline constexpr Event nodesExpired { 303, "nodes-expired", EventLevel::Info,
+    "Nodes whose registrations were not renewed have been removed from the registry." };
 inline constexpr Event homeTaken { 310, "home-taken", EventLevel::Info, "This node is the home of a pool or of a group of quotas now." };
 inline constexpr Event homeLeft { 311, "home-left", EventLevel::Info,
     "This node is no longer the home of a pool or of a group of quotas." };
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -67,7 +67,7 @@
     RoutingTablePointer routing;
     UpstreamDirectory directory;
     std::map<std::string, RetryBudget> retryBudgets; /**< By service. */
-    std::function<int()> nodeCount; /**< @return how many nodes may use the upstreams, with this one. */
+    std::function<std::optional<int>()> nodeCount; /**< @return how many nodes may use the upstreams, with this one, if known. */
     /** Makes sure that the routing is the newest one, by reading its source if need be. @return false if that is not known. */
     std::function<Task<bool>()> confirmRouting {};
     std::map<std::string, Duration> longestTimeouts {}; /**< Longest timeout that callers have sent, by route. */
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -2,6 +2,7 @@
 
 #include <gateway/CallerServer.h>
 #include <gateway/GatewayContext.h>
+#include <gateway/NodeDiscovery.h>
 #include <gateway/PeerView.h>
 #include <gateway/StateFetcher.h>
 #include <net/DatagramSocket.h>
@@ -101,6 +102,7 @@
     HttpConnectionPool& connectionPool() { return m_connectionPool; }
     RolloutController& rollouts() { return m_rollouts; }
     PromptGuard& prompts() { return m_prompts; }
+    NodeDiscovery& discovery() { return m_discovery; }
 
     /** @return true if this node should write the quarantines of parts of prompts to durable storage now. */
     bool isQuarantineRecordDue() const;
@@ -151,6 +153,7 @@
     void advanceRollouts(TimePoint now);
     void onQuarantineChange();
     void connectNotices();
+    bool isStoreWriter(const std::string& record) const;
     bool isRolloutLeader(const std::string& service) const;
     bool isStableVersionIdle(const std::string& service) const;
     void startBackgroundTask(const char* name, Task<void>);
@@ -167,6 +170,7 @@
     UpstreamNotices m_notices;
     GatewayContext m_context;
     PeerView m_peers;
+    NodeDiscovery m_discovery;
     StateFetcher m_stateFetcher;
     StateCallbacks m_stateCallbacks;
     std::unique_ptr<CallerServer> m_callerServer;
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -112,6 +112,9 @@
      */
     std::vector<std::string> peersReachingSource(const std::string& dataCentre = {}) const;
 
+    /** @return the data centre that a peer has reported, empty if unknown. */
+    std::string dataCentreOf(const std::string& address) const;
+
     /** @return CPU capacity that a live peer has reported, 0 if unknown. */
     int capacityOf(const std::string& address) const;
 
@@ -124,9 +127,27 @@
     /** @return the number of nodes that are live to this node or to a delegate, including this one. */
     int liveNodeCount() const;
 
-    /** @return the number of nodes that may exist, including this one, as far as this node or a delegate knows from recent reports. */
+    /**
+     * @return the number of nodes that may exist, including this one: those of recent reports to this node or a delegate, and at least the
+     *     registered ones.
+     */
     int knownNodeCount() const;
 
+    /**
+     * Sets the number of registered nodes, as this node has read it from the registry.
+     * @param wasRegistered this node was in the registry before it started, so that its peers count it already.
+     */
+    void setRegisteredNodes(int count, bool wasRegistered);
+
+    /** @return the number of registered nodes, including this one; 0 if neither this node nor a peer knows it. */
+    int registeredNodes() const { return m_registeredNodes; }
+
+    /**
+     * @return true once this node may rely on knownNodeCount(): the number of registered nodes is known, and the others, if there are any,
+     *     know of this node. A node that has not got any report can't tell whether the others are gone or cut off from it.
+     */
+    bool isFleetKnown() const { return m_isFleetKnown; }
+
     /** @return the number of peers that are live to this node, and this node. */
     int directLiveNodeCount() const { return static_cast<int>(livePeers().size()) + 1; }
 
@@ -154,6 +175,8 @@
         NodeReport report;
     };
 
+    void adoptRegisteredNodes(const NodeReport&);
+    void updateFleetKnown();
     bool isSuspected(const Peer&) const;
     bool isInOwnDataCentre(const Peer& peer) const { return peer.report.dataCentre == m_own.dataCentre; }
 
@@ -166,6 +189,10 @@
     std::map<std::string, Peer> m_peers;
     std::string m_lastNamed;
     TimePoint m_now {}; /**< Time of the last expire(). */
+    int m_registeredNodes = 0; /**< 0 if unknown. */
+    bool m_wasRegistered = false; /**< Before it started. */
+    bool m_hasHeardPeer = false;
+    bool m_isFleetKnown = false;
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/include/gateway/QuotaEnforcer.h
+++ b/libs/gateway/include/gateway/QuotaEnforcer.h
@@ -68,6 +68,7 @@
         std::function<void(const std::string& node, const Message&)> send;
         std::function<int()> knownNodeCount; /**< Including this node and those that are silent. */
         std::function<int()> liveNodeCount; /**< Including this node. */
+        std::function<bool()> isFleetKnown; /**< @return true once knownNodeCount() can be relied on. */
         /** @return true if a node has not reported for a while. Its lease is not renewed, so that it ends soon if the node is gone. */
         std::function<bool(const std::string& node)> isSilent {};
     };
--- a/libs/gateway/include/gateway/RetryBudget.h
+++ b/libs/gateway/include/gateway/RetryBudget.h
@@ -3,6 +3,7 @@
 #include <base/TimerService.h>
 
 #include <deque>
+#include <optional>
 
 namespace bronzeswitch {
 
@@ -28,8 +29,12 @@
     /** Counts a request. */
     void onRequest(TimePoint now);
 
-    /** Takes one retry out of the budget. @param nodes number of nodes that share the slack. @return false if none is left. */
-    bool take(int nodes, TimePoint now);
+    /**
+     * Takes one retry out of the budget.
+     * @param nodes number of nodes that share the slack; while it is unknown, this node uses none of the slack.
+     * @return false if none is left.
+     */
+    bool take(std::optional<int> nodes, TimePoint now);
 
 private:
     void dropExpired(TimePoint now);
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -66,8 +66,10 @@
     , m_prompts(m_log)
     , m_notices(m_log)
     , m_context { loop.get_executor(), m_options.node, m_options.bounds, std::move(headerCodec), m_log, m_metrics, m_connectionPool,
-        m_slots, m_rollouts, m_quotas, m_prompts, m_notices, nullptr, {}, {}, [this] { return m_peers.knownNodeCount(); } }
+        m_slots, m_rollouts, m_quotas, m_prompts, m_notices, nullptr, {}, {},
+        [this] { return m_peers.isFleetKnown() ? std::optional(m_peers.knownNodeCount()) : std::nullopt; } }
     , m_peers(PeerTimeouts {})
+    , m_discovery(m_peers, m_log)
     , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
     , m_incarnation(unixMilliseconds())
 {
@@ -127,11 +129,13 @@
         { [this](const std::string& key) { return homeOf(key, m_peers.readyPeers()); },
             [this](const std::string& address, const Message& message) { send(address, message); },
             [this] { return m_peers.knownNodeCount(); }, [this] { return m_peers.liveNodeCount(); },
+            [this] { return m_peers.isFleetKnown(); },
             [this](const std::string& address) { return m_peers.isSilent(address, monotonicNow()); } });
     m_prompts.connect({ [this](const Message& message) { broadcast(message); },
         [this](const std::string& address, const Message& message) { send(address, message); }, [this] { onQuarantineChange(); },
         [this] { return m_isDelegate; } });
     connectNotices();
+    m_discovery.connect({ peerAddress(), m_options.dataCentre }, [this] { return isStoreWriter("nodes"); });
     const auto onFailure = [this](const std::string& reason) {
         m_log.write(events::taskFailed, { { "task", "status" }, { "reason", reason } });
     };
@@ -295,6 +299,8 @@
     report.liveNodes = m_peers.directLiveNodeCount();
     report.knownNodes = m_peers.directNodeCount();
     report.isSourceReachable = m_isSourceReachable;
+    report.registeredNodes = m_peers.registeredNodes();
+    report.isRegistrar = m_discovery.isRegistrar(monotonicNow());
     report.quarantines = m_prompts.entries();
     if (m_isDelegate)
         report.notices = m_notices.entries(m_context.directory, monotonicNow());
@@ -372,6 +378,7 @@
         m_slots.tick();
         m_quotas.tick();
         m_prompts.tick();
+        m_discovery.tick(now);
         m_writer.flush();
         if (now < nextSweep)
             continue;
@@ -389,7 +396,7 @@
     if (!m_rollouts.tick(now, m_isDelegate, isLeader, isIdle).empty())
         configureSlots();
     for (const auto& [service, rule] : m_rollouts.rules()) {
-        if (rule.phase == RolloutPhase::Trial)
+        if (rule.phase == RolloutPhase::Trial && m_peers.isFleetKnown())
             m_slots.allowCandidate(service, rule.rollout, m_rollouts.headroom(service));
     }
 }
@@ -413,19 +420,23 @@
         reportNow();
 }
 
-bool GatewayNode::isQuarantineRecordDue() const
+bool GatewayNode::isQuarantineRecordDue() const { return m_prompts.differsFromRecord() && isStoreWriter("quarantine"); }
+
+// One of the nodes that hear each other and reach the store writes a record for all of them.
+bool GatewayNode::isStoreWriter(const std::string& record) const
 {
-    if (!m_isSourceReachable || !m_prompts.differsFromRecord())
+    if (!m_isSourceReachable)
         return false;
     const auto reaching = m_peers.peersReachingSource();
     auto writers = m_peers.responsivePeers();
     std::erase_if(writers, [&](const std::string& peer) { return std::find(reaching.begin(), reaching.end(), peer) == reaching.end(); });
-    return homeOf("pool/quarantine", std::move(writers)) == peerAddress();
+    return homeOf("pool/" + record, std::move(writers)) == peerAddress();
 }
 
+// A node that may be one of many, but hears no other, would lead beside the others' leader.
 bool GatewayNode::isRolloutLeader(const std::string& service) const
 {
-    return homeOf("pool/rollout/" + service, m_peers.responsivePeers()) == peerAddress();
+    return m_peers.isFleetKnown() && homeOf("pool/rollout/" + service, m_peers.responsivePeers()) == peerAddress();
 }
 
 bool GatewayNode::isStableVersionIdle(const std::string& service) const
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -53,6 +53,7 @@
         if (isRelevant(other))
             addAddress(other.address, false, now);
     }
+    adoptRegisteredNodes(report);
     return isNewlyLive;
 }
 
@@ -192,6 +193,12 @@
     return result;
 }
 
+std::string PeerView::dataCentreOf(const std::string& address) const
+{
+    const auto peer = m_peers.find(address);
+    return peer == m_peers.end() ? std::string() : peer->second.report.dataCentre;
+}
+
 int PeerView::capacityOf(const std::string& address) const
 {
     const auto peer = m_peers.find(address);
@@ -232,7 +239,7 @@
 
 int PeerView::knownNodeCount() const
 {
-    int count = directNodeCount();
+    int count = std::max(directNodeCount(), m_registeredNodes);
     for (const auto& [address, peer] : m_peers) {
         if (peer.isLive)
             count = std::max(count, peer.report.knownNodes);
@@ -240,6 +247,28 @@
     return count;
 }
 
+void PeerView::setRegisteredNodes(int count, bool wasRegistered)
+{
+    m_registeredNodes = count;
+    m_wasRegistered = wasRegistered;
+    updateFleetKnown();
+}
+
+// The registrar's number counts; without one, any number does for a node that knows none.
+void PeerView::adoptRegisteredNodes(const NodeReport& report)
+{
+    m_hasHeardPeer = true;
+    if (report.registeredNodes > 0 && (report.isRegistrar || m_registeredNodes == 0))
+        m_registeredNodes = report.registeredNodes;
+    updateFleetKnown();
+}
+
+void PeerView::updateFleetKnown()
+{
+    const bool isOnlyNode = m_registeredNodes == 1;
+    m_isFleetKnown = m_isFleetKnown || (m_registeredNodes > 0 && (isOnlyNode || m_wasRegistered || m_hasHeardPeer));
+}
+
 std::vector<StateHolder> PeerView::newestRoutingHolders(int64_t newerThan, const std::string& dataCentre) const
 {
     int64_t newest = newerThan;
--- a/libs/gateway/src/QuotaEnforcer.cpp
+++ b/libs/gateway/src/QuotaEnforcer.cpp
@@ -192,7 +192,8 @@
         m_nodeCountChanged = now;
         m_shares.setNodeCount(known, now);
     }
-    if (now - m_started >= discoveryTime && now - m_nodeCountChanged >= stableCountTime)
+    const bool isSettled = now - m_started >= discoveryTime && now - m_nodeCountChanged >= stableCountTime;
+    if (isSettled && m_callbacks.isFleetKnown())
         m_shares.activateOwnShare(now);
 }
 
--- a/libs/gateway/src/RetryBudget.cpp
+++ b/libs/gateway/src/RetryBudget.cpp
@@ -32,10 +32,11 @@
     m_requests.push_back(now);
 }
 
-bool RetryBudget::take(int nodes, TimePoint now)
+bool RetryBudget::take(std::optional<int> nodes, TimePoint now)
 {
     dropExpired(now);
-    const double budget = m_allowance.slack / std::max(1, nodes) + m_allowance.ratio * static_cast<double>(m_requests.size());
+    const double slack = nodes ? m_allowance.slack / std::max(1, *nodes) : 0;
+    const double budget = slack + m_allowance.ratio * static_cast<double>(m_requests.size());
     if (static_cast<double>(m_retries.size() + 1) > safetyFactor * budget)
         return false;
     m_retries.push_back(now);
--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -114,6 +114,18 @@
     CHECK(retries <= allowance.ratio * requests + allowance.slack);
 }
 
+// Guards against a node that hears no other yet and retries as often as all nodes together may.
+TEST_CASE("a node that doesn't know how many nodes there are uses no part of the retry slack")
+{
+    const RetryAllowance allowance { 0.2, 60, Duration(10000) };
+    RetryBudget budget(allowance);
+    budget.onRequest(start);
+    CHECK_FALSE(budget.take(std::nullopt, start));
+    for (int i = 0; i < 100; ++i)
+        budget.onRequest(start);
+    CHECK(budget.take(std::nullopt, start));
+}
+
 TEST_CASE("a newer report replaces the last one, and older reports are ignored")
 {
     PeerView view({});
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -318,6 +318,8 @@
     bool isSourceReachable = true; /**< False if the sender has recently failed to reach the source of routing and directory. */
     std::vector<QuarantineEntry> quarantines; /**< Those in force at the sender. */
     std::vector<UpstreamNotice> notices; /**< Of upstreams in the sender's directory. Only delegates exchange them. */
+    int registeredNodes = 0; /**< Nodes in the registry, as far as the sender knows; 0 if it doesn't know. */
+    bool isRegistrar = false; /**< The sender maintains the registry and has read it a short time ago. */
 
     bool operator==(const NodeReport&) const = default;
 };
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -87,7 +87,7 @@
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
             message.routingVersion, message.directoryPosition, message.hasLoads, message.loads, message.suspects, message.peers,
             message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable,
-            message.quarantines, message.notices);
+            message.quarantines, message.notices, message.registeredNodes, message.isRegistrar);
     else if constexpr (std::is_same_v<Type, NoticeUpdate>)
         return std::tie(message.notices);
     else if constexpr (std::is_same_v<Type, PromptLoss>)
