Give up a response of the upstream that takes most of the memory, not whichever is read next

What callers saw: while one upstream sent bodies without end, callers of a sound upstream of another service got 502 for responses that it had given, and then 503 "overloaded", since the sound one counted as failing.

Cause: the bodies of all requests shared one limit of 24 MB, and whoever read next while it was exceeded failed, as if its upstream had sent too much. The limit did not follow the process's memory, and a response counted only until it had been read: callers that don't take their responses held them beyond any limit.

Change: BodyMemory knows what each response takes until its caller has it, by upstream. When all together exceed a fifth of the process's memory, the upstream that takes most of it loses one: one that its caller has left for over a second, else the largest one that is still being read. Partial events of streams count too. A body that states a length above the limit is not read at all. Giving up counts against the upstream only if the response states no length, since only then it may have no end.

Ruled out: that other reads from outside have no end. Health checks are not used, heads stop at 64 KB.

--- a/libs/base/include/base/Error.h
+++ b/libs/base/include/base/Error.h
@@ -16,6 +16,7 @@
     Cancelled,
     Protocol,
     Stale,
+    Exhausted,
 };
 
 /** @return the stable name of an error code in lower case with hyphens, such as "invalid-argument". */
--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -96,6 +96,8 @@
 inline constexpr Event dispatchUnsuccessful { 605, "dispatch-unsuccessful", EventLevel::Info,
     "A dispatch brought no usable answer; says whether it may have run and what follows." };
 inline constexpr Event callerLeft { 606, "caller-left", EventLevel::Info, "The caller left before its answer was complete." };
+inline constexpr Event bodyGivenUp { 607, "body-given-up", EventLevel::Warning,
+    "The memory for upstreams' responses was used up; the largest one of the upstream that took most of it was given up." };
 } // namespace events
 
 /** @return all event types in ascending order of their numbers. */
--- a/libs/base/src/Error.cpp
+++ b/libs/base/src/Error.cpp
@@ -21,6 +21,8 @@
         return "protocol";
     case ErrorCode::Stale:
         return "stale";
+    case ErrorCode::Exhausted:
+        return "exhausted";
     }
     return "unknown";
 }
--- a/libs/base/src/EventLog.cpp
+++ b/libs/base/src/EventLog.cpp
@@ -32,7 +32,7 @@
     events::promptsQuarantined, events::upstreamUnreachable, events::answerDropped, events::streamResumed, events::outcomeUnclear,
     events::rolloutStep, events::rolloutAlarm, events::rolloutTakenBack, events::rolloutFinished, events::rolloutRecorded,
     events::orderAccepted, events::orderRefused, events::requestDispatched, events::requestAnswered, events::requestRefused,
-    events::requestFailed, events::requestRejected, events::dispatchUnsuccessful, events::callerLeft };
+    events::requestFailed, events::requestRejected, events::dispatchUnsuccessful, events::callerLeft, events::bodyGivenUp };
 
 log4cplus::Logger& logger()
 {
--- a/libs/gateway/include/gateway/EventStream.h
+++ b/libs/gateway/include/gateway/EventStream.h
@@ -40,6 +40,9 @@
     /** @return true if the bytes so far end with a complete event. */
     bool isAtEventBoundary() const { return m_pending.empty(); }
 
+    /** @return bytes of memory that the partial event takes. */
+    std::size_t pendingSize() const { return m_pending.capacity(); }
+
     /** @return the identifier of the last complete event, or of the last one that the caller has received before. */
     std::optional<int64_t> lastEventId() const { return m_lastEventId; }
 
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gateway/BodyMemory.h>
 #include <gateway/DecisionLog.h>
 #include <gateway/HeaderCodec.h>
 #include <gateway/PromptGuard.h>
@@ -76,7 +77,8 @@
     bool mayDispatch = true; /**< False late in a graceful shutdown: no more requests are sent to upstreams. */
     /** Shared with the requests, which the event loop may destroy after the node. */
     std::shared_ptr<std::set<RequestTask*>> activeRequests = std::make_shared<std::set<RequestTask*>>();
-    std::size_t bufferedBytes = 0; /**< Bytes of response bodies that are read completely before they are forwarded or discarded. */
+    /** Of response bodies that are read completely before they are forwarded or discarded. Shared with the requests as well. */
+    std::shared_ptr<BodyMemory> bodyMemory = std::make_shared<BodyMemory>(BodyMemory::capacityFor(0));
 
     RetryBudget& retryBudgetFor(const std::string& service) { return retryBudgets.try_emplace(service, bounds.retries).first->second; }
 };
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -24,6 +24,7 @@
     GatewayBounds bounds;
     int logLinesPerSecond = 400;
     int capacity = 0; /**< CPU time that the node may use, in thousandths of a core; 0 if unknown. */
+    std::size_t memoryBytes = 0; /**< Memory that the process may use; 0 if unknown. */
 
     bool operator==(const GatewayOptions&) const = default;
 };
--- a/libs/gateway/src/Dispatch.cpp
+++ b/libs/gateway/src/Dispatch.cpp
@@ -18,7 +18,7 @@
     case Dispatch::Outcome::NotRun:
         return dispatch.wasSent || dispatch.isWithheld ? DispatchOutcome::Cancelled : DispatchOutcome::Unreachable;
     default:
-        return dispatch.isAbandoned ? DispatchOutcome::Cancelled : DispatchOutcome::Failed;
+        return dispatch.isEndedByNode ? DispatchOutcome::Cancelled : DispatchOutcome::Failed;
     }
 }
 
--- a/libs/gateway/src/Dispatch.h
+++ b/libs/gateway/src/Dispatch.h
@@ -38,7 +38,7 @@
     bool isConnectionUsed = false; /**< The connection has carried other responses, so that one of them may come again. */
     bool isWithheld = false; /**< Not sent, since the upstream wants no requests now. */
     bool wasSent = false; /**< The request may have reached the upstream. */
-    bool isAbandoned = false; /**< Ended by this node because it stops. */
+    bool isEndedByNode = false; /**< Ended by this node for a reason of its own, so that it shows nothing about the upstream. */
     bool isLost = false; /**< The upstream broke the connection off. */
     std::string failure; /**< Why there is no usable response, for the decision log. */
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -73,6 +73,7 @@
     , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
     , m_incarnation(unixMilliseconds())
 {
+    m_context.bodyMemory = std::make_shared<BodyMemory>(BodyMemory::capacityFor(m_options.memoryBytes));
     addSeeds(m_options.seeds);
 }
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t maxResponseBytes = 4UL * 1024 * 1024;
-constexpr std::size_t maxBufferedBytes = 24UL * 1024 * 1024; // Over all requests of a node.
 constexpr std::size_t maxDiscardedBytes = 64UL * 1024; // Of a response that is read only so that its connection can be reused.
 constexpr Duration discardTimeout { 250 };
 constexpr std::size_t maxUnreachableUpstreams = 4; // Per request.
@@ -366,7 +365,7 @@
         current.isConnectionUsed = true;
         m_context.log.write(events::answerDropped,
             { { "request", m_resolved.metadata.requestId }, { "upstream", current.upstream.id }, { "answers", metadata.requestId } });
-        const auto skipped = co_await readBody(connection, maxDiscardedBytes, m_deadline);
+        const auto skipped = co_await readBody(current, connection, maxDiscardedBytes, m_deadline);
         if (!skipped)
             co_return tl::unexpected(skipped.error());
         head = co_await connection.readHead(m_deadline);
@@ -378,7 +377,7 @@
 {
     current.failure = error.message;
     current.isLost = error.code == ErrorCode::Unavailable;
-    current.isAbandoned = m_isAbandoned;
+    current.isEndedByNode = m_isAbandoned || error.code == ErrorCode::Exhausted;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
 }
 
@@ -412,18 +411,26 @@
     current.failure = "status " + std::to_string(head.status);
     if (isForThisRequest && (metadata.isNotRun || metadata.isMisdirected)) {
         // Reads the rest of the response so that the connection can be reused.
-        co_await readBody(connection, maxDiscardedBytes, std::min(m_deadline, monotonicNow() + discardTimeout));
+        co_await readBody(current, connection, maxDiscardedBytes, std::min(m_deadline, monotonicNow() + discardTimeout));
         co_return Outcome::NotRun;
     }
-    auto body = co_await readBody(connection, maxResponseBytes, m_deadline);
+    auto body = co_await readBody(current, connection, maxResponseBytes, m_deadline);
     if (!body)
         co_return recordFailure(current, body.error());
     if (!isForThisRequest || !metadata.isSigned || impliesNotRun(head.status))
         co_return Outcome::MayHaveRun;
-    m_failureResponse = FullHttpResponse { head, std::move(*body) };
-    if (isServerFailure(head.status) || m_hasResponseBegun)
+    BufferedResponse response { current.upstream.id, head, std::move(*body) };
+    if (isServerFailure(head.status) || m_hasResponseBegun) {
+        keepFailureResponse(std::move(response));
         co_return Outcome::Failed;
-    co_return co_await sendResponse(m_failureResponse->head, m_failureResponse->body) ? Outcome::Completed : Outcome::CallerDisconnected;
+    }
+    co_return co_await sendUpstreamResponse(response) ? Outcome::Completed : Outcome::CallerDisconnected;
+}
+
+void RequestTask::keepFailureResponse(BufferedResponse response)
+{
+    m_failureResponse = std::move(response);
+    m_failureResponse->body.reservation.setComplete([this] { m_failureResponse.reset(); }, monotonicNow());
 }
 
 void RequestTask::applyStatements(const Dispatch& current, const ResponseHead& head, const ResponseMetadata& metadata)
@@ -437,17 +444,22 @@
         { { "upstream", current.upstream.id }, { "pauseMs", metadata.retryAfter->count() }, { "source", "response" } });
 }
 
-Task<Result<std::string>> RequestTask::readBody(UpstreamConnection& connection, std::size_t limit, TimePoint deadline)
+Task<Result<BufferedBody>> RequestTask::readBody(
+    const Dispatch& current, UpstreamConnection& connection, std::size_t limit, TimePoint deadline)
 {
-    std::string body;
-    std::size_t counted = 0;
+    const auto statedLength = connection.statedLength();
+    if (statedLength && *statedLength > limit)
+        co_return fail(ErrorCode::Protocol, "the response body is too large: " + std::to_string(*statedLength) + " bytes");
+    BufferedBody body { {}, BodyReservation(m_context.bodyMemory, current.upstream.id, [&connection] { connection.abort(); }) };
     Result<bool> more = true;
-    while (more && *more && body.size() <= limit && m_context.bufferedBytes <= maxBufferedBytes) {
-        more = co_await connection.readSome(body, deadline);
-        m_context.bufferedBytes += body.size() - counted;
-        counted = body.size();
+    while (more && *more && body.text.size() <= limit && !body.reservation.isGivenUp()) {
+        more = co_await connection.readSome(body.text, deadline);
+        if (more && !*more)
+            body.reservation.setComplete([] {}, monotonicNow());
+        body.reservation.setSize(body.text.capacity(), monotonicNow());
     }
-    m_context.bufferedBytes -= counted;
+    if (body.reservation.isGivenUp())
+        co_return tl::unexpected(recordGivenUp(current.upstream.id, statedLength, body.text.size()));
     if (!more)
         co_return tl::unexpected(more.error());
     if (*more)
@@ -455,12 +467,34 @@
     co_return body;
 }
 
+Error RequestTask::recordGivenUp(const std::string& upstream, std::optional<uint64_t> statedLength, std::size_t bytes) const
+{
+    m_context.metrics.countIncident("body-given-up");
+    m_context.log.write(events::bodyGivenUp,
+        { { "request", m_resolved.metadata.requestId }, { "upstream", upstream }, { "bytes", bytes },
+            { "hasLength", statedLength.has_value() }, { "bytesOfAll", m_context.bodyMemory->size() } });
+    // Without a stated length, the response may have no end.
+    return { statedLength ? ErrorCode::Exhausted : ErrorCode::Protocol,
+        "given up: the upstream's responses take most of the memory for responses" };
+}
+
 Task<RequestTask::Outcome> RequestTask::forwardResponse(Dispatch& current, UpstreamConnection& connection, ResponseHead head)
 {
-    auto body = co_await readBody(connection, maxResponseBytes, m_deadline);
+    auto body = co_await readBody(current, connection, maxResponseBytes, m_deadline);
     if (!body)
         co_return recordFailure(current, body.error());
-    co_return co_await sendResponse(head, *body) ? Outcome::Completed : Outcome::CallerDisconnected;
+    BufferedResponse response { current.upstream.id, std::move(head), std::move(*body) };
+    co_return co_await sendUpstreamResponse(response) ? Outcome::Completed : Outcome::CallerDisconnected;
+}
+
+Task<bool> RequestTask::sendUpstreamResponse(BufferedResponse& response)
+{
+    auto& [upstream, head, body] = response;
+    body.reservation.setComplete([this] { m_caller.reset(); }, monotonicNow());
+    const bool isSent = co_await sendResponse(head, body.text);
+    if (body.reservation.isGivenUp())
+        recordGivenUp(upstream, body.text.size(), body.text.size());
+    co_return isSent;
 }
 
 Task<bool> RequestTask::sendResponse(const ResponseHead& head, const std::string& body)
@@ -471,16 +505,19 @@
     framing.length = body.size();
     framing.isClosing = !isKeepAlive();
     framing.idleTimeout = idleTimeout();
-    co_return co_await m_caller.write(
-        formatResponseHead(callerHead, framing) + body, std::max(m_deadline, monotonicNow() + Duration(1000)));
+    const auto headText = formatResponseHead(callerHead, framing);
+    co_return co_await m_caller.write(headText, body, std::max(m_deadline, monotonicNow() + Duration(1000)));
 }
 
 Task<RequestTask::Outcome> RequestTask::forwardStream(Dispatch& current, UpstreamConnection& connection, const ResponseHead& head)
 {
     m_stream.discardPartialEvent();
+    BodyReservation reservation(m_context.bodyMemory, current.upstream.id, [&connection] { connection.abort(); });
     for (;;) {
         std::string bytes;
         const auto more = co_await connection.readSome(bytes, m_deadline);
+        if (reservation.isGivenUp())
+            co_return recordFailure(current, recordGivenUp(current.upstream.id, connection.statedLength(), m_stream.pendingSize()));
         if (!more)
             co_return recordFailure(current, more.error());
         const auto before = m_stream.eventCount();
@@ -489,6 +526,7 @@
             connection.abort();
             co_return recordFailure(current, completeEvents.error());
         }
+        reservation.setSize(m_stream.pendingSize(), monotonicNow());
         if (!current.eventCount && m_stream.eventCount() > before)
             current.firstByteAt = monotonicNow();
         const auto eventCountBefore = current.eventCount;
@@ -556,7 +594,7 @@
     }
     if (m_failureResponse) {
         m_context.metrics.countRequest(m_resolved.route->rank, "failed");
-        co_return co_await sendResponse(m_failureResponse->head, m_failureResponse->body) && isKeepAlive();
+        co_return co_await sendUpstreamResponse(*m_failureResponse) && isKeepAlive();
     }
     const auto problem = problemAfter(worstOutcome);
     auto fields = describe();
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -38,6 +38,13 @@
 private:
     using Outcome = Dispatch::Outcome;
 
+    /** An upstream's complete response. */
+    struct BufferedResponse {
+        std::string upstream;
+        ResponseHead head;
+        BufferedBody body;
+    };
+
     void setDeadlines();
 
     /** Replaces a rejection that an older routing may have caused by one that the newest routing confirms, or by a refusal. */
@@ -73,10 +80,21 @@
 
     Task<Outcome> handleResponse(Dispatch&, UpstreamConnection&, const ResponseHead&);
 
-    /** Reads a body completely. @param limit size in bytes. @return Protocol if the body or all buffered bodies exceed their limit. */
-    Task<Result<std::string>> readBody(UpstreamConnection&, std::size_t limit, TimePoint deadline);
+    /**
+     * Reads a body completely.
+     * @param limit size in bytes.
+     * @return Protocol if the body is larger, Exhausted if it had to be given up although it states a length within the limit.
+     */
+    Task<Result<BufferedBody>> readBody(const Dispatch&, UpstreamConnection&, std::size_t limit, TimePoint deadline);
 
     Task<Outcome> forwardResponse(Dispatch&, UpstreamConnection&, ResponseHead);
+
+    /** Logs that a response had to be given up. @return the error, which tells whether that shows a fault of the upstream. */
+    Error recordGivenUp(const std::string& upstream, std::optional<uint64_t> statedLength, std::size_t bytes) const;
+
+    /** Keeps the response of an upstream that failed, for a caller whose request no other upstream completes. */
+    void keepFailureResponse(BufferedResponse);
+
     Task<Outcome> forwardStream(Dispatch&, UpstreamConnection&, const ResponseHead&);
     Task<bool> beginStream(const ResponseHead&);
     /** Applies what the upstream states about itself and about further requests of this node. */
@@ -112,6 +130,10 @@
 
     Task<bool> sendProblem(const Problem&);
     Task<bool> sendResponse(const ResponseHead&, const std::string& body);
+
+    /** Sends an upstream's response. It is given up if the caller doesn't read it and the memory is needed for others. */
+    Task<bool> sendUpstreamResponse(BufferedResponse&);
+
     void onCallerDisconnect();
 
     /** @return the time until a point, at least 1 ms. */
@@ -140,7 +162,7 @@
     bool m_hasCallerDisconnected = false;
     bool m_isAbandoned = false; /**< The node stops: its dispatch was ended, and no other one follows. */
     int m_attempts = 0; /**< How often the request has been sent to an upstream. */
-    std::optional<FullHttpResponse> m_failureResponse; /**< An upstream's failure response, sent to the caller if no retry succeeds. */
+    std::optional<BufferedResponse> m_failureResponse; /**< An upstream's failure response, sent to the caller if no retry succeeds. */
     std::optional<SlotRefusal> m_refusal;
     std::optional<QuotaResult> m_quotaResult; /**< Set if the organisation's quota is limited. */
     TimePoint m_quotaDecidedAt {};
--- a/libs/net/include/net/CallerConnection.h
+++ b/libs/net/include/net/CallerConnection.h
@@ -49,6 +49,9 @@
     /** Writes bytes. @return false when the caller has disconnected or does not read in time. */
     Task<bool> write(std::string_view, TimePoint deadline);
 
+    /** Writes a head and a body, without copying them. */
+    Task<bool> write(std::string_view head, std::string_view body, TimePoint deadline);
+
     /**
      * Calls a function once when the caller closes or resets the connection, until stopWatching(). Data that arrives first, such
      * as a pipelined request, is not a disconnect; it ends the watch without a call.
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -60,6 +60,9 @@
     /** @return true if the current response states no length, so that the end of the connection is the end of its body. */
     bool endsWithConnection() const { return m_parser && m_parser->need_eof(); }
 
+    /** @return the length that the current response states for its body; none if it states no length or has no body. */
+    std::optional<uint64_t> statedLength() const;
+
     /** @return true if the connection can carry another request. */
     bool isReusable() const;
 
--- a/libs/net/src/CallerConnection.cpp
+++ b/libs/net/src/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "SocketOptions.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -85,10 +86,13 @@
     co_return parser.release();
 }
 
-Task<bool> CallerConnection::write(std::string_view text, TimePoint deadline)
+Task<bool> CallerConnection::write(std::string_view text, TimePoint deadline) { return write(text, {}, deadline); }
+
+Task<bool> CallerConnection::write(std::string_view head, std::string_view body, TimePoint deadline)
 {
     m_stream.expires_at(deadline);
-    const auto [error, size] = co_await asio::async_write(m_stream, asio::buffer(text.data(), text.size()), awaitResult);
+    const std::array buffers { asio::buffer(head.data(), head.size()), asio::buffer(body.data(), body.size()) };
+    const auto [error, size] = co_await asio::async_write(m_stream, buffers, awaitResult);
     m_hasDisconnected = m_hasDisconnected || error;
     co_return !error;
 }
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -158,6 +158,13 @@
     m_stream->close();
 }
 
+std::optional<uint64_t> UpstreamConnection::statedLength() const
+{
+    if (!m_parser || m_isHeadMethod || !m_parser->content_length())
+        return std::nullopt;
+    return *m_parser->content_length();
+}
+
 bool UpstreamConnection::isReusable() const
 {
     const bool isWritten = m_write && m_write->isDone && !m_write->isFailed;
