Move what the caller gets out of the request task

CallerResponse now formats and writes a complete response, a problem or the events of a stream, and knows whether a response has begun; the task decides which. The refusal before a dispatch is a function of its own.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -1,12 +1,10 @@
 #include "RequestTask.h"
 
 #include <algorithm>
-#include <array>
 #include <base/Hash.h>
 #include <base/HttpStatus.h>
 #include <boost/beast/core/string.hpp>
 #include <cmath>
-#include <cstdio>
 
 namespace bronzeswitch {
 
@@ -35,19 +33,13 @@
         || status == httpstatus::serviceUnavailable;
 }
 
-std::string formatSeconds(Duration duration)
-{
-    std::array<char, 32> text {};
-    std::snprintf(text.data(), text.size(), "%.3f", toSeconds(duration));
-    return text.data();
-}
-
 } // namespace
 
 RequestTask::RequestTask(GatewayContext& context, CallerConnection& caller, FullHttpRequest request)
     : m_context(context)
     , m_activeRequests(context.activeRequests)
     , m_caller(caller)
+    , m_callerResponse(context, caller, request.keep_alive())
     , m_request(std::move(request))
     , m_resolved(resolveRequest(context, m_request))
     , m_arrivedAt(monotonicNow())
@@ -65,6 +57,7 @@
 Task<bool> RequestTask::run()
 {
     co_await confirmRejection();
+    m_callerResponse.setIdleTimeout(idleTimeout());
     auto problem = m_resolved.problem;
     if (!problem)
         setDeadlines();
@@ -80,19 +73,24 @@
     }
     if (problem) {
         m_caller.stopWatching();
-        const bool isRejected = problem->status != httpstatus::serviceUnavailable && problem->status != httpstatus::tooManyRequests;
-        auto fields = describe();
-        fields["reason"] = problem->reason;
-        fields["status"] = problem->status;
-        m_context.log.write(isRejected ? events::requestRejected : events::requestRefused, std::move(fields));
-        m_context.metrics.countRequest(m_resolved.route ? m_resolved.route->rank : 0, problem->reason);
-        co_return co_await sendProblem(*problem);
+        co_return co_await refuse(*problem);
     }
     const bool canReuseConnection = co_await dispatchWithRetries();
     m_caller.stopWatching();
     co_return canReuseConnection && !m_hasCallerDisconnected;
 }
 
+Task<bool> RequestTask::refuse(const Problem& problem)
+{
+    const bool isRejected = problem.status != httpstatus::serviceUnavailable && problem.status != httpstatus::tooManyRequests;
+    auto fields = describe();
+    fields["reason"] = problem.reason;
+    fields["status"] = problem.status;
+    m_context.log.write(isRejected ? events::requestRejected : events::requestRefused, std::move(fields));
+    m_context.metrics.countRequest(m_resolved.route ? m_resolved.route->rank : 0, problem.reason);
+    co_return co_await m_callerResponse.sendProblem(problem, m_deadline);
+}
+
 // A caller takes the rejection of an unknown route or key as final, so it needs the newest routing.
 Task<void> RequestTask::confirmRejection()
 {
@@ -230,7 +228,7 @@
         reportPromptResult(current, outcome);
         logDispatch(current, outcome);
         if (outcome == Outcome::Completed)
-            co_return isKeepAlive();
+            co_return m_callerResponse.isKeepAlive();
         if (outcome == Outcome::CallerDisconnected)
             co_return false;
         if (outcome != Outcome::NotRun)
@@ -402,7 +400,7 @@
             && boost::beast::iequals(fieldValue(head.fields, "Content-Type").substr(0, 17), "text/event-stream");
         if (isStream)
             co_return co_await forwardStream(current, connection, head);
-        if (m_hasResponseBegun) {
+        if (m_callerResponse.hasBegun()) {
             current.failure = "the response is not an event stream";
             co_return Outcome::MayHaveRun;
         }
@@ -420,7 +418,7 @@
     if (!isForThisRequest || !metadata.isSigned || impliesNotRun(head.status))
         co_return Outcome::MayHaveRun;
     BufferedResponse response { current.upstream.id, head, std::move(*body) };
-    if (isServerFailure(head.status) || m_hasResponseBegun) {
+    if (isServerFailure(head.status) || m_callerResponse.hasBegun()) {
         keepFailureResponse(std::move(response));
         co_return Outcome::Failed;
     }
@@ -490,25 +488,13 @@
 Task<bool> RequestTask::sendUpstreamResponse(BufferedResponse& response)
 {
     auto& [upstream, head, body] = response;
-    body.reservation.setComplete([this] { m_caller.reset(); }, monotonicNow());
-    const bool isSent = co_await sendResponse(head, body.text);
+    body.reservation.setComplete([this] { m_callerResponse.reset(); }, monotonicNow());
+    const bool isSent = co_await m_callerResponse.send(head, body.text, m_deadline);
     if (body.reservation.isGivenUp())
         recordGivenUp(upstream, body.text.size(), body.text.size());
     co_return isSent;
 }
 
-Task<bool> RequestTask::sendResponse(const ResponseHead& head, const std::string& body)
-{
-    m_hasResponseBegun = true;
-    ResponseHead callerHead { head.status, head.reason, endToEndFields(head.fields) };
-    ResponseFraming framing;
-    framing.length = body.size();
-    framing.isClosing = !isKeepAlive();
-    framing.idleTimeout = idleTimeout();
-    const auto headText = formatResponseHead(callerHead, framing);
-    co_return co_await m_caller.write(headText, body, std::max(m_deadline, monotonicNow() + Duration(1000)));
-}
-
 Task<RequestTask::Outcome> RequestTask::forwardStream(Dispatch& current, UpstreamConnection& connection, const ResponseHead& head)
 {
     m_stream.discardPartialEvent();
@@ -538,20 +524,7 @@
             current.isLost = true;
             co_return Outcome::MayHaveRun;
         }
-        std::string text;
-        if (!m_hasResponseBegun && (!completeEvents->empty() || !*more)) {
-            m_hasResponseBegun = true;
-            ResponseFraming framing;
-            framing.bodyFraming = BodyFraming::Chunked;
-            framing.isClosing = !isKeepAlive();
-            framing.idleTimeout = idleTimeout();
-            text = formatResponseHead({ head.status, head.reason, endToEndFields(head.fields) }, framing);
-        }
-        if (!completeEvents->empty())
-            text += formatChunk(*completeEvents);
-        if (!*more)
-            text += lastChunk;
-        if (!text.empty() && !co_await m_caller.write(text, m_deadline))
+        if (!co_await m_callerResponse.sendEvents(head, *completeEvents, !*more, m_deadline))
             co_return Outcome::CallerDisconnected;
         if (!*more)
             co_return Outcome::Completed;
@@ -586,15 +559,15 @@
 
 Task<bool> RequestTask::respondToFailure(Outcome worstOutcome)
 {
-    if (m_hasResponseBegun) {
+    if (m_callerResponse.hasBegun()) {
         m_context.log.write(events::requestFailed, describe());
         m_context.metrics.countRequest(m_resolved.route->rank, "broken");
-        m_caller.reset();
+        m_callerResponse.reset();
         co_return false;
     }
     if (m_failureResponse) {
         m_context.metrics.countRequest(m_resolved.route->rank, "failed");
-        co_return co_await sendUpstreamResponse(*m_failureResponse) && isKeepAlive();
+        co_return co_await sendUpstreamResponse(*m_failureResponse) && m_callerResponse.isKeepAlive();
     }
     const auto problem = problemAfter(worstOutcome);
     auto fields = describe();
@@ -602,7 +575,7 @@
     fields["status"] = problem.status;
     m_context.log.write(worstOutcome == Outcome::NotRun ? events::requestRefused : events::requestFailed, std::move(fields));
     m_context.metrics.countRequest(m_resolved.route->rank, problem.reason);
-    co_return co_await sendProblem(problem);
+    co_return co_await m_callerResponse.sendProblem(problem, m_deadline);
 }
 
 Problem RequestTask::problemAfter(Outcome worstOutcome) const
@@ -627,22 +600,11 @@
         "no upstream could take the request", m_refusal ? std::max(wait, minRetryAfter) : minRetryAfter + wait);
 }
 
-Task<bool> RequestTask::sendProblem(const Problem& problem)
-{
-    ResponseHead head { problem.status, "", {} };
-    head.fields.set("Content-Type", "application/problem+json");
-    if (problem.retryAfter)
-        head.fields.set("Retry-After", formatSeconds(*problem.retryAfter));
-    co_return co_await sendResponse(head, toJsonText(problem)) && isKeepAlive();
-}
-
 Duration RequestTask::timeLeft(TimePoint until) const
 {
     return std::max(Duration(1), std::chrono::floor<Duration>(until - monotonicNow()));
 }
 
-bool RequestTask::isKeepAlive() const { return m_request.keep_alive() && !m_context.isDraining; }
-
 Duration RequestTask::idleTimeout() const
 {
     return m_resolved.routing ? m_resolved.routing->document().callerLimits.idleTimeout : CallerLimits {}.idleTimeout;
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerResponse.h"
 #include "Dispatch.h"
 #include "ResolvedRequest.h"
 
@@ -50,6 +51,9 @@
     /** Replaces a rejection that an older routing may have caused by one that the newest routing confirms, or by a refusal. */
     Task<void> confirmRejection();
 
+    /** Responds to a request that is not dispatched. @return true if the caller's connection can be reused. */
+    Task<bool> refuse(const Problem&);
+
     /** Takes the request's tokens of its organisation's quota. @return the refusal if there are too few. */
     Task<std::optional<Problem>> acquireQuota();
 
@@ -128,9 +132,6 @@
     /** @return what the caller gets if there is no upstream's response to pass on. */
     Problem problemAfter(Outcome worstOutcome) const;
 
-    Task<bool> sendProblem(const Problem&);
-    Task<bool> sendResponse(const ResponseHead&, const std::string& body);
-
     /** Sends an upstream's response. It is given up if the caller doesn't read it and the memory is needed for others. */
     Task<bool> sendUpstreamResponse(BufferedResponse&);
 
@@ -140,7 +141,6 @@
     Duration timeLeft(TimePoint until) const;
 
     Duration elapsedBeforeArrival();
-    bool isKeepAlive() const;
     Duration idleTimeout() const;
     void logDispatch(const Dispatch&, Outcome) const;
 
@@ -150,6 +150,7 @@
     GatewayContext& m_context;
     std::shared_ptr<std::set<RequestTask*>> m_activeRequests;
     CallerConnection& m_caller;
+    CallerResponse m_callerResponse;
     FullHttpRequest m_request;
     ResolvedRequest m_resolved;
     std::shared_ptr<const std::string> m_body;
@@ -158,7 +159,6 @@
     TimePoint m_deadline;
     TimePoint m_firstEventDeadline; /**< When the caller is assumed to give up a stream that has not begun. */
     EventStream m_stream { std::nullopt };
-    bool m_hasResponseBegun = false; /**< The head of a response has been sent to the caller. */
     bool m_hasCallerDisconnected = false;
     bool m_isAbandoned = false; /**< The node stops: its dispatch was ended, and no other one follows. */
     int m_attempts = 0; /**< How often the request has been sent to an upstream. */
