Contact registered nodes that are not known yet, and trust no registry before it is read

Within 20 s of the clock's start a node counted as registrar before it had read the registry, and so could count itself alone.

--- a/libs/gateway/include/gateway/NodeDiscovery.h
+++ b/libs/gateway/include/gateway/NodeDiscovery.h
@@ -55,6 +55,7 @@
     void tick(TimePoint now);
 
 private:
+    void addContacts(TimePoint now);
     void updateCount();
     void logCount();
 
--- a/libs/gateway/include/gateway/NodeRegistry.h
+++ b/libs/gateway/include/gateway/NodeRegistry.h
@@ -4,6 +4,7 @@
 #include <protocol/Messages.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,10 +75,10 @@
     int size() const { return static_cast<int>(m_entries.size()); }
 
     /** @return true if the registrar should renew the live nodes' registrations. */
-    bool isRenewalDue(TimePoint now) const { return now - m_lastRenewal >= m_times.renewInterval; }
+    bool isRenewalDue(TimePoint now) const { return m_lastRenewal && now - *m_lastRenewal >= m_times.renewInterval; }
 
     /** @return true if the contents have been read or renewed a short time ago. */
-    bool isCurrent(TimePoint now) const { return now - m_lastRenewal < 2 * m_times.renewInterval; }
+    bool isCurrent(TimePoint now) const { return m_lastRenewal && now - *m_lastRenewal < 2 * m_times.renewInterval; }
 
     /**
      * Notes that the registrations of live nodes have been renewed, after the changes of others were read. Counts for the other nodes that
@@ -91,9 +92,10 @@
     /**
      * @return registered nodes for a node to contact so that it gets to know the others, from its own data centre first.
      * @param own this node.
+     * @param known addresses that it knows already.
      * @param count at most so many. Each node gets others, so that not all contact the same ones.
      */
-    std::vector<std::string> contactsFor(const RegisteredNode& own, std::size_t count) const;
+    std::vector<std::string> contactsFor(const RegisteredNode& own, const std::set<std::string>& known, std::size_t count) const;
 
 private:
     struct Entry {
@@ -104,7 +106,7 @@
 
     RegistrationTimes m_times;
     std::map<std::string, Entry> m_entries;
-    TimePoint m_lastRenewal {}; /**< Or of the first read. */
+    std::optional<TimePoint> m_lastRenewal; /**< Or the first read; none before it. */
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/NodeDiscovery.cpp
+++ b/libs/gateway/src/NodeDiscovery.cpp
@@ -24,15 +24,21 @@
 {
     m_wasRegistered = wasRegistered;
     updateCount();
-    for (const auto& address : m_registry.contactsFor(m_own, maxContacts))
-        m_peers.addAddress(address, false, now);
+    addContacts(now);
 }
 
 void NodeDiscovery::onRenewed(const std::vector<RegisteredNode>& nodes, TimePoint now)
 {
     m_registry.onRenewed(nodes, now);
     updateCount();
-    for (const auto& address : m_registry.contactsFor(m_own, maxContacts))
+    addContacts(now);
+}
+
+void NodeDiscovery::addContacts(TimePoint now)
+{
+    const auto addresses = m_peers.addresses();
+    const std::set<std::string> known(addresses.begin(), addresses.end());
+    for (const auto& address : m_registry.contactsFor(m_own, known, maxContacts))
         m_peers.addAddress(address, false, now);
 }
 
--- a/libs/gateway/src/NodeRegistry.cpp
+++ b/libs/gateway/src/NodeRegistry.cpp
@@ -13,7 +13,7 @@
         put(registration);
     }
     std::erase_if(m_entries, [&](const auto& entry) { return !addresses.contains(entry.first); });
-    if (m_lastRenewal == TimePoint {})
+    if (!m_lastRenewal)
         m_lastRenewal = now;
 }
 
@@ -53,11 +53,11 @@
     return result;
 }
 
-std::vector<std::string> NodeRegistry::contactsFor(const RegisteredNode& own, std::size_t count) const
+std::vector<std::string> NodeRegistry::contactsFor(const RegisteredNode& own, const std::set<std::string>& known, std::size_t count) const
 {
     std::vector<std::tuple<bool, uint64_t, std::string>> ranked;
     for (const auto& [address, entry] : m_entries) {
-        if (address != own.address)
+        if (address != own.address && !known.contains(address))
             ranked.emplace_back(entry.dataCentre != own.dataCentre, stableHash(own.address + address), address);
     }
     std::sort(ranked.begin(), ranked.end());
--- a/libs/gateway/tests/NodeDiscoveryTests.cpp
+++ b/libs/gateway/tests/NodeDiscoveryTests.cpp
@@ -47,6 +47,7 @@
             playRound();
     }
 
+    int liveNodes(int node) { return at(node).peers.directLiveNodeCount(); }
     int knownNodes(int node) { return at(node).peers.knownNodeCount(); }
     bool isFleetKnown(int node) { return at(node).peers.isFleetKnown(); }
     std::size_t registered() const { return m_registry.size(); }
@@ -124,6 +125,8 @@
 
     void playRound()
     {
+        constexpr int roundsPerPeerList = 4;
+        const bool withPeers = ++m_round % roundsPerPeerList == 0;
         for (auto& node : m_nodes) {
             node->peers.expire(m_now);
             if (!node->isAlive)
@@ -131,7 +134,7 @@
             if (!node->hasJoined)
                 join(*node);
             for (const auto& target : node->peers.addresses())
-                report(*node, find(target));
+                report(*node, find(target), withPeers);
         }
         for (auto& node : m_nodes) {
             node->isRegistrar = node->isAlive && isFirstOfLive(*node);
@@ -148,9 +151,12 @@
             live.begin(), live.end(), [&](const RegisteredNode& other) { return node.discovery.own().address <= other.address; });
     }
 
-    void report(Node& from, Node* to)
+    void report(Node& from, Node* to, bool withPeers)
     {
-        if (!to || !isConnected(from, *to) || !to->peers.onReport(from.discovery.own().address, makeReport(from), m_now))
+        auto report = makeReport(from);
+        if (withPeers)
+            report.peers = from.peers.nextPeersToName(24, "honda");
+        if (!to || !isConnected(from, *to) || !to->peers.onReport(from.discovery.own().address, report, m_now))
             return;
         auto response = makeReport(*to);
         response.peers = to->peers.nextPeersToName(64, "honda");
@@ -192,6 +198,7 @@
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::map<std::string, NodeRegistry::Registration> m_registry;
     int64_t m_offset = 0;
+    int m_round = 0;
     int64_t m_incarnations = 0;
 };
 
@@ -239,6 +246,28 @@
     }
 }
 
+TEST_CASE("halves of a larger fleet that did not hear each other for minutes meet again without seeds")
+{
+    constexpr int size = 60;
+    Fleet fleet(size);
+    for (int node = 0; node < size; node += 2)
+        fleet.setGroup(node, 1);
+    fleet.play(Duration(120000));
+    CHECK(fleet.liveNodes(0) == size / 2);
+    for (int node = 0; node < size; node += 2)
+        fleet.setGroup(node, 0);
+    fleet.play(Duration(20000));
+    for (int node = 0; node < size; ++node)
+        CHECK(fleet.liveNodes(node) == size);
+}
+
+TEST_CASE("a node that has not read the registry is not the registrar, also shortly after the clock's start")
+{
+    const NodeRegistry registry;
+    CHECK_FALSE(registry.isCurrent(TimePoint() + Duration(500)));
+    CHECK_FALSE(registry.isRenewalDue(start));
+}
+
 TEST_CASE("nodes that lose all reports of each other don't each act as the only one")
 {
     Fleet fleet(nodes);
@@ -311,12 +340,12 @@
         registrations.push_back({ registered, { 1, node } });
     }
     registry.reset(registrations, start);
-    const auto contacts = registry.contactsFor(registrations[0].node, 16);
+    const auto contacts = registry.contactsFor(registrations[0].node, {}, 16);
     REQUIRE(contacts.size() == 16);
     for (const auto& contact : contacts) {
         const int node = std::stoi(contact.substr(contact.find(':') + 1)) - 10000;
         CHECK(node % dataCentres == 0);
         CHECK(node != 0);
     }
-    CHECK(contacts != registry.contactsFor(registrations[dataCentres].node, 16));
+    CHECK(contacts != registry.contactsFor(registrations[dataCentres].node, {}, 16));
 }
