Let a node count by the registry only once it is registered itself

A node that had read the registry, but not written to it yet, could act as registrar for an instant and count itself alone; of two nodes that start together, and whose writes fail, each would have used a whole quota. The registry counts as joined only after the node's own registration was read, or was there before.

The new case of NodeDiscoveryTests guards it; on the code before it fails by construction (the first read alone made the node a registrar). Also mended in comments: an example that named a function that is not there, and the word for an organisation.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -97,7 +97,7 @@
     "A dispatch brought no usable answer; says whether it may have run and what follows." };
 inline constexpr Event callerLeft { 606, "caller-left", EventLevel::Info, "The caller left before its answer was complete." };
 inline constexpr Event bodyGivenUp { 607, "body-given-up", EventLevel::Warning,
-    "The memory for upstreams' responses was used up; the largest one of the upstream that took most of it was given up." };
+    "The memory for upstreams' responses was used up, and a response of the upstream that took most of it was given up." };
 } // namespace events
 
 /** @return all event types in ascending order of their numbers. */
--- a/libs/gateway/include/gateway/BodyMemory.h
+++ b/libs/gateway/include/gateway/BodyMemory.h
@@ -113,7 +113,8 @@
     bool isGivenUp() const { return m_isGivenUp && *m_isGivenUp; }
 
 private:
-    BodyMemory::GiveUp noting(BodyMemory::GiveUp) const;
+    /** @return the function, which also marks the body as given up. */
+    BodyMemory::GiveUp withMark(BodyMemory::GiveUp) const;
 
     std::shared_ptr<BodyMemory> m_memory;
     uint64_t m_id = 0;
--- a/libs/gateway/include/gateway/NodeDiscovery.h
+++ b/libs/gateway/include/gateway/NodeDiscovery.h
@@ -14,8 +14,10 @@
  * A component outside of this class reads and writes the registry's storage. While this node is the registrar, it renews there the
  * registrations of all nodes that are live to it.
  *
- *     registrar reads all: discovery.registry().reset(nodes, now); discovery.onRead(wasRegistered, now);
- *     if (discovery.isRenewalDue(now)) registrar writes discovery.liveNodes(); discovery.onRenewed(nodes, now);
+ *     discovery.registry().reset(registrations);
+ *     discovery.onJoined(wasRegistered, now);
+ *     if (discovery.isRenewalDue(now))
+ *         discovery.onRenewed(writtenNodes, now);
  */
 class NodeDiscovery {
 public:
@@ -28,15 +30,16 @@
     const RegisteredNode& own() const { return m_own; }
 
     /**
-     * Takes over what was read: the number of nodes, and addresses of peers that this node does not know yet.
+     * Applies what was read at the start, once this node is registered too: the number of nodes, and addresses of peers that this node
+     * does not know yet.
      * @param wasRegistered this node was in the registry before it started.
      */
-    void onRead(bool wasRegistered, TimePoint now);
+    void onJoined(bool wasRegistered, TimePoint now);
 
-    /** Takes over that the registrations of nodes have been renewed. */
+    /** Notes that the registrations of nodes have been renewed. */
     void onRenewed(const std::vector<RegisteredNode>&, TimePoint now);
 
-    /** Takes over that expired registrations have been removed. */
+    /** Notes that expired registrations have been removed. */
     void onRemoved(const std::vector<std::string>& addresses);
 
     /** @return true if this node should renew registrations now. */
--- a/libs/gateway/include/gateway/NodeRegistry.h
+++ b/libs/gateway/include/gateway/NodeRegistry.h
@@ -30,17 +30,18 @@
 /**
  * The nodes that are registered in durable storage, as far as this node has read.
  *
- * Load pattern: a tenant sends many times its quota while nodes are replaced, and the new nodes can't reach the old ones. A node that hears
- * no other can't tell whether it is the only one, so the number of nodes comes from the registry. A new node registers itself and then
- * reads the registry: of two nodes that start at the same time, at least one reads of the other.
+ * Load pattern: an organisation sends many times its quota while nodes are replaced, and the new nodes can't reach the old ones. A node
+ * that hears no other can't tell whether it is the only one, so the number of nodes comes from the registry. A new node registers itself
+ * and then reads the registry: of two nodes that start at the same time, at least one reads of the other.
  *
- * Among the nodes that hear each other one, the registrar, renews the registrations of all of them in one write per interval. Nodes that
- * are cut off from the others have a registrar of their own, so their registrations stay. The registrar removes a registration that
+ * One of the nodes that hear each other is the registrar. It renews the registrations of all of them in one write per interval. Nodes
+ * that are cut off from the others have a registrar of their own, so their registrations stay. The registrar removes a registration that
  * nobody renews. Only intervals in which it could read and write the registry itself count, so none expires while the storage is away.
  *
- *     registry.reset(nodes); // After a complete read.
- *     registry.put(node, position); // For each change since.
- *     if (registry.isRenewalDue(now)) write(registry.renewals(live)), registry.onRenewed(live, now);
+ *     registry.reset(registrations); // After a complete read.
+ *     registry.onJoined(now); // At the start, once this node is registered too.
+ *     registry.put(registration); // For each change since.
+ *     registry.onRenewed(liveNodes, now); // After each renewal.
  */
 class NodeRegistry {
 public:
@@ -57,13 +58,16 @@
     {
     }
 
-    /** Replaces the contents by a complete list. @param now time of the read. */
-    void reset(const std::vector<Registration>&, TimePoint now);
+    /** Replaces the contents by a complete list. */
+    void reset(const std::vector<Registration>&);
+
+    /** Notes that this node is registered and has read the registry since. */
+    void onJoined(TimePoint now) { m_lastRenewal = now; }
 
     /** Adds a registration or renews it. */
     void put(const Registration&);
 
-    /** Adds nodes that are live but not registered yet, for example because they have just started. */
+    /** Adds nodes that are live but have not been read, for example because they have just started. */
     void addMissing(const std::vector<RegisteredNode>& live);
 
     /** Removes a registration. */
@@ -77,7 +81,7 @@
     /** @return true if the registrar should renew the live nodes' registrations. */
     bool isRenewalDue(TimePoint now) const { return m_lastRenewal && now - *m_lastRenewal >= m_times.renewInterval; }
 
-    /** @return true if the contents have been read or renewed a short time ago. */
+    /** @return true if this node has joined or renewed registrations a short time ago. */
     bool isCurrent(TimePoint now) const { return m_lastRenewal && now - *m_lastRenewal < 2 * m_times.renewInterval; }
 
     /**
@@ -106,7 +110,7 @@
 
     RegistrationTimes m_times;
     std::map<std::string, Entry> m_entries;
-    std::optional<TimePoint> m_lastRenewal; /**< Or the first read; none before it. */
+    std::optional<TimePoint> m_lastRenewal; /**< Or when this node joined; none before. */
 };
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/BodyMemory.cpp
+++ b/libs/gateway/src/BodyMemory.cpp
@@ -106,7 +106,7 @@
     : m_memory(std::move(memory))
     , m_isGivenUp(std::make_shared<bool>(false))
 {
-    m_id = m_memory->add(std::move(upstream), noting(std::move(giveUp)));
+    m_id = m_memory->add(std::move(upstream), withMark(std::move(giveUp)));
 }
 
 BodyReservation::~BodyReservation()
@@ -123,7 +123,7 @@
     return *this;
 }
 
-BodyMemory::GiveUp BodyReservation::noting(BodyMemory::GiveUp giveUp) const
+BodyMemory::GiveUp BodyReservation::withMark(BodyMemory::GiveUp giveUp) const
 {
     return [isGivenUp = m_isGivenUp, giveUp = std::move(giveUp)] {
         *isGivenUp = true;
@@ -140,7 +140,7 @@
 void BodyReservation::setComplete(BodyMemory::GiveUp giveUp, TimePoint now)
 {
     if (m_memory)
-        m_memory->setComplete(m_id, noting(std::move(giveUp)), now);
+        m_memory->setComplete(m_id, withMark(std::move(giveUp)), now);
 }
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/NodeDiscovery.cpp
+++ b/libs/gateway/src/NodeDiscovery.cpp
@@ -20,9 +20,10 @@
     m_hasDuty = std::move(hasDuty);
 }
 
-void NodeDiscovery::onRead(bool wasRegistered, TimePoint now)
+void NodeDiscovery::onJoined(bool wasRegistered, TimePoint now)
 {
     m_wasRegistered = wasRegistered;
+    m_registry.onJoined(now);
     updateCount();
     addContacts(now);
 }
--- a/libs/gateway/src/NodeRegistry.cpp
+++ b/libs/gateway/src/NodeRegistry.cpp
@@ -5,7 +5,7 @@
 
 namespace bronzeswitch {
 
-void NodeRegistry::reset(const std::vector<Registration>& registrations, TimePoint now)
+void NodeRegistry::reset(const std::vector<Registration>& registrations)
 {
     std::set<std::string> addresses;
     for (const auto& registration : registrations) {
@@ -13,8 +13,6 @@
         put(registration);
     }
     std::erase_if(m_entries, [&](const auto& entry) { return !addresses.contains(entry.first); });
-    if (!m_lastRenewal)
-        m_lastRenewal = now;
 }
 
 void NodeRegistry::put(const Registration& registration)
--- a/libs/gateway/tests/NodeDiscoveryTests.cpp
+++ b/libs/gateway/tests/NodeDiscoveryTests.cpp
@@ -110,7 +110,7 @@
         if (!wasRegistered)
             write(own);
         read(node);
-        node.discovery.onRead(wasRegistered, m_now);
+        node.discovery.onJoined(wasRegistered, m_now);
     }
 
     void write(const RegisteredNode& node) { m_registry[node.address] = { node, { 1, ++m_offset } }; }
@@ -120,7 +120,7 @@
         std::vector<NodeRegistry::Registration> all;
         for (const auto& [key, registration] : m_registry)
             all.push_back(registration);
-        node.discovery.registry().reset(all, m_now);
+        node.discovery.registry().reset(all);
     }
 
     void playRound()
@@ -268,6 +268,21 @@
     CHECK_FALSE(registry.isRenewalDue(start));
 }
 
+// Guards against two nodes that both read an empty registry, fail to write to it, and each count themselves alone.
+TEST_CASE("a node that has read the registry but could not register itself does not know the fleet")
+{
+    LineWriter writer(-1, 1U << 20U);
+    DecisionLog log("n1", writer, 0);
+    PeerView peers(PeerTimeouts {});
+    NodeDiscovery discovery(peers, log);
+    discovery.connect({ "127.0.0.1:1", "honda" }, [] { return true; });
+    discovery.registry().reset({});
+    discovery.tick(start);
+    CHECK_FALSE(discovery.isFleetKnown());
+    discovery.onJoined(false, start);
+    CHECK(discovery.isFleetKnown());
+}
+
 TEST_CASE("nodes that lose all reports of each other don't each act as the only one")
 {
     Fleet fleet(nodes);
@@ -339,7 +354,7 @@
         const RegisteredNode registered { "127.0.0.1:" + std::to_string(10000 + node), "dc" + std::to_string(node % dataCentres) };
         registrations.push_back({ registered, { 1, node } });
     }
-    registry.reset(registrations, start);
+    registry.reset(registrations);
     const auto contacts = registry.contactsFor(registrations[0].node, {}, 16);
     REQUIRE(contacts.size() == 16);
     for (const auto& contact : contacts) {
