--- a/review/lib-2/platform_standins.py
+++ b/review/lib-2/platform_standins.py
@@ -241,6 +241,7 @@
         self.is_leaving = False
         self.is_registered = False
         self.ran = []
+        self.more_fields = []  # Of each answer.
         self.beats = None
 
     def entry(self):
@@ -278,7 +279,7 @@
 
     def fields(self, request):
         fields = [("X-Attempt-Id", request["id"]), ("X-Instance-Signature", "sig." + self.name + "." + request["id"]),
-                  ("X-Instance-Load", self.load())]
+                  ("X-Instance-Load", self.load())] + self.more_fields
         if self.is_leaving:
             fields.append(("Server-Leaving", "1"))
         return fields
@@ -375,7 +376,7 @@
                               "control_plane": "%s:%d" % (self.ip, control)},
             "internal_port_range": [internal, internal], "seed_nodes": ["%s:%d" % (node.ip, control) for node in fleet.nodes[:3]],
             "bootstrap": bootstrap, "loss_counts": False,
-            "limits": {"cpu_share": self.cpu_share, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0,
+            "limits": {"cpu_share": self.cpu_share, "cpu_cores": 1, "memory_mb": fleet.memory_mb, "max_fds": 4100, "link_mbps": 1000.0,
                        "disk_mb": 0},
             "data_dir": None, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota", "rollout",
@@ -444,6 +445,7 @@
         self.ports = free_ports([machine[1] for machine in machines], 4)
         self.nodes = [Node(self, *machine) for machine in machines]
         self.engines = []
+        self.memory_mb = 260
         self.bounds = {"seed_lag_s": 3, "reuse_after_s": 2, "stability_window_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
                        "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
                        "max_stretch_ms": 5000, "fail_closed": False, "revoke_ms": 5000, "retry_budget_ratio": 0.2,
