--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,72 +1,71 @@
-"""One of two engines spoils one in twenty of its answers: bytes that are no event stand behind a whole event.
+"""The node that reads the store for all stands still for 3.5 s. Just after it has woken, an engine leaves: its entry is removed.
 
-The streams may be resumed. Checks rule ORDER: no piece of a stream is missing.
+Checks rule DRAIN: no request reaches the engine later than drain_ms after the store has acknowledged that it is gone.
 """
 
 import asyncio
 import os
-import re
+import signal
 import sys
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from platform_standins import Fleet, NotRun, configuration, route, run_case, send  # noqa: E402
+from platform_standins import Fleet, configuration, route, run_case, send  # noqa: E402
 
-EVENTS = 12
-ANSWERS_PER_SPOILED_ONE = 20  # x = 0.05 of the answers, share = 0.5 of the engines.
-MAX_REQUESTS = 120
-PAUSE = 0.03
+FREEZE_S = 3.5  # As the site file's node_freeze.
+DRAIN_S = 2.0
+EXIT_S = 2.5  # The engine goes on serving for drain_ms and a little longer, and then exits.
+WORK_S = 0.4
 
 
-def event(number):
-    return b"id: %d\ndata: piece-%d\n\n" % (number, number)
+async def case(record, trouble):
+    async def sign_off(request):
+        await asyncio.sleep(WORK_S)
+        return b"signed off " + request["id"].encode()
 
+    machines = [("edge-za-1", "127.0.0.2", "za", 0.5), ("edge-zb-1", "127.0.0.3", "zb", 0.25), ("edge-zb-2", "127.0.0.4", "zb", 0.25)]
+    async with Fleet(record, machines) as fleet:
+        routes = [route("r-signoff", "h.example", "/signoff/", "non_idempotent", "app", 4000, 1000)]
+        fleet.store.put("keyed.op", "config", configuration(1, routes, [], ["app"]))
+        engines = [await fleet.add_engine("app-%d" % number, "app", 6, "za", sign_off) for number in (1, 2, 3)]
+        await fleet.start_nodes()
+        reader, *others = fleet.nodes
 
-async def case(record, trouble):
-    spoiled = []
-    answers = {"e-1": 0, "e-2": 0}
+        async def sign_offs(prefix):
+            """Each calm node gets six sign-offs at once."""
+            names = [(node, "%s-%s-%d" % (prefix, node.name, place)) for node in others for place in range(6)]
+            return dict(zip([name for _, name in names], await asyncio.gather(
+                *[send(record, node, "POST", "h.example", "/signoff/1", name, 4000, (), b"{}") for node, name in names])))
 
-    async def work(request):
-        name = request["engine"].name
-        answers[name] += 1
-        spoils = trouble and name == "e-1" and answers[name] % ANSWERS_PER_SPOILED_ONE == 0
-        first = int(request["fields"].get("last-event-id", "0")) + 1
-        for number in range(first, EVENTS + 1):
-            await asyncio.sleep(PAUSE)
-            if spoils and number == 6:
-                spoiled.append(request["id"])
-                record.line("engine e-1 spoils its answer to %s behind event %d" % (request["id"], number))
-                yield event(number) + b"id: \x9b\xff\ndata: \xe1\x07\n\n"
-                return
-            yield event(number)
+        await sign_offs("before")
+        if trouble:
+            reader.signal(signal.SIGSTOP)
+            await asyncio.sleep(FREEZE_S)
+            reader.signal(signal.SIGCONT)
+        else:
+            await asyncio.sleep(FREEZE_S)
+        await asyncio.sleep(0.8)
+        leaving = engines[1]
+        leaving.leave_unannounced()
+        left_at = record.now()
+        record.line("engine %s leaves: its entry is removed, as the store acknowledges" % leaving.name)
+        ran_before = len(leaving.ran)
 
-    async with Fleet(record, [("edge-za-1", "127.0.0.2", "za", 0.25), ("edge-zb-1", "127.0.0.3", "zb", 0.25)]) as fleet:
-        routes = [route("r-1", "h.example", "/notes/", "streaming", "lm", 12000, 1000, 400, attempts=2, resumable=True)]
-        fleet.store.put("keyed.op", "config", configuration(1, routes, ["lm"], [], slots=4))
-        for name, zone in (("e-1", "za"), ("e-2", "zb")):
-            await fleet.add_engine(name, "lm", 4, zone, work)
-        await fleet.start_nodes()
-        broken = []
-        checked = 0
-        while checked < (MAX_REQUESTS if trouble else 60) and (not spoiled or checked < 40):
-            names = ["q-%d" % (checked + place) for place in range(4)]
-            fields = [("X-Model-Name", "m"), ("X-Token-Count", "60,60")]
-            streams = await asyncio.gather(*[
-                send(record, fleet.nodes[place % 2], "POST", "h.example", "/notes/1", name, 12000,
-                     fields + [("X-Prompt-Prefix", "a1:40,%x:20" % (4096 + checked + place))], b"{}")
-                for place, name in enumerate(names)])
-            checked += len(names)
-            for name, stream in zip(names, streams):
-                if stream.status != 200:
-                    continue
-                ids = [int(number) for number in re.findall(rb"^id: (\d+)$", stream.body, re.M)]
-                record.line("client has events of %s: %s" % (name, ids))
-                expected = list(range(1, len(ids) + 1))
-                if ids != expected or (stream.is_complete and len(ids) != EVENTS):
-                    broken.append("ORDER: the client got the events %s of %s, %s" % (
-                        ids, name, "and the stream ended as complete" if stream.is_complete else "then it broke off"))
-        if trouble and not spoiled:
-            raise NotRun("engine e-1 got too few requests")
+        async def end_engine():
+            await asyncio.sleep(EXIT_S - (record.now() - left_at))
+            await leaving.stop()
+            record.line("engine %s exits" % leaving.name)
+
+        exits = asyncio.ensure_future(end_engine())
+        await asyncio.sleep(DRAIN_S + 0.3 - (record.now() - left_at))
+        answers = await sign_offs("after")
+        late = [request["id"] for request in leaving.ran[ran_before:]]
+        await exits
+        answers.update(await sign_offs("later"))
+        broken = ["DRAIN: request %s reached %s over %.1f s after its leaving was acknowledged" % (name, leaving.name, DRAIN_S)
+                  for name in late]
+        for name in late:
+            record.line("what became of %s: %s" % (name, answers[name]))
         return broken
 
 
