Pass on the events that stand before a malformed one in the same read

Cause: EventStream::push counted the whole events before a malformed one but returned only the error, so they were never sent, and the next dispatch named the last of them as received. RequestTask::forwardStream did the same with whole events before the end of a response that stops inside an event.

The checks of the old EventStream tests are kept, on the new result type: where they required an error result, they require the error.

Why it works: events are passed on before the dispatch ends, so the count of events never runs ahead of what the caller got.

--- a/libs/gateway/include/gateway/EventStream.h
+++ b/libs/gateway/include/gateway/EventStream.h
@@ -13,22 +13,27 @@
  * Splits a stream of server-sent events into complete events and checks that their identifiers are consecutive.
  *
  * Only complete events are returned. When a stream breaks off inside an event, the partial event is discarded, so that another
- * upstream can resume the stream after the last complete one.
+ * upstream can resume the stream after the last complete one. Events that arrive together with a malformed one, but before it, are
+ * returned with the error: lastEventId() counts them, so a resumed stream does not repeat them.
  *
  *     EventStream stream(lastEventId);
- *     auto completeEvents = stream.push(bytes);
+ *     const auto batch = stream.push(bytes);
+ *     send(batch.events);
+ *     if (batch.error) ...
  */
 class EventStream {
 public:
+    /** The outcome of a push. */
+    struct Batch {
+        std::string events; /**< The events that are complete now, unchanged; without those from an error on. */
+        std::optional<Error> error; /**< Protocol if an event is missing, duplicated, too large, or has no identifier after one that has. */
+    };
+
     /** @param lastEventId last event that the caller has received before, if any; the stream starts after it. */
     explicit EventStream(std::optional<int64_t> lastEventId);
 
-    /**
-     * Appends bytes of the stream.
-     * @return the events that are complete now, unchanged; Protocol if an event is missing, duplicated or too large, or has no
-     *     identifier although an earlier one has.
-     */
-    Result<std::string> push(std::string_view bytes);
+    /** Appends bytes of the stream. @return what they complete. After an error, discardPartialEvent() must come before the next push. */
+    Batch push(std::string_view bytes);
 
     /** Discards a partial event before another upstream resumes the stream. */
     void discardPartialEvent()
@@ -50,7 +55,8 @@
     int64_t eventCount() const { return m_eventCount; }
 
 private:
-    Result<bool> checkEvent(std::string_view event);
+    /** Counts an event. @return why it can't follow the last one, if so; it is not counted then. */
+    std::optional<Error> acceptEvent(std::string_view event);
 
     std::optional<int64_t> m_lastEventId;
     std::string m_pending; /**< Bytes of the partial event. */
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -39,37 +39,38 @@
 {
 }
 
-Result<std::string> EventStream::push(std::string_view bytes)
+EventStream::Batch EventStream::push(std::string_view bytes)
 {
     m_pending.append(bytes);
+    Batch batch;
     std::size_t consumed = 0;
     for (auto end = m_pending.find(blankLine, m_scannedBytes); end != std::string::npos; end = m_pending.find(blankLine, consumed)) {
         const auto next = end + blankLine.size();
-        const auto checked = checkEvent(std::string_view(m_pending).substr(consumed, next - consumed));
-        if (!checked)
-            return tl::unexpected(checked.error());
+        batch.error = acceptEvent(std::string_view(m_pending).substr(consumed, next - consumed));
+        if (batch.error)
+            break;
         consumed = next;
     }
-    std::string completeEvents = m_pending.substr(0, consumed);
+    batch.events = m_pending.substr(0, consumed);
     m_pending.erase(0, consumed);
-    if (m_pending.size() > maxEventBytes)
-        return fail(ErrorCode::Protocol, "server-sent event is too large");
+    if (!batch.error && m_pending.size() > maxEventBytes)
+        batch.error = Error { ErrorCode::Protocol, "server-sent event is too large" };
     m_scannedBytes = m_pending.empty() ? 0 : m_pending.size() - 1; // A blank line may be split between two pushes.
-    return completeEvents;
+    return batch;
 }
 
-Result<bool> EventStream::checkEvent(std::string_view event)
+std::optional<Error> EventStream::acceptEvent(std::string_view event)
 {
     const auto id = parseEventId(event);
     if (!id && m_lastEventId && !isComment(event))
-        return fail(ErrorCode::Protocol, "an event without an id follows event id " + std::to_string(*m_lastEventId));
+        return Error { ErrorCode::Protocol, "an event without an id follows event id " + std::to_string(*m_lastEventId) };
     if (!id)
-        return true;
+        return std::nullopt;
     if (m_lastEventId && *id != *m_lastEventId + 1)
-        return fail(ErrorCode::Protocol, "event id " + std::to_string(*id) + " follows event id " + std::to_string(*m_lastEventId));
+        return Error { ErrorCode::Protocol, "event id " + std::to_string(*id) + " follows event id " + std::to_string(*m_lastEventId) };
     m_lastEventId = id;
     ++m_eventCount;
-    return true;
+    return std::nullopt;
 }
 
 } // namespace bronzeswitch
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -504,33 +504,48 @@
         const auto more = co_await connection.readSome(bytes, m_deadline);
         if (reservation.isGivenUp())
             co_return recordFailure(current, recordGivenUp(current.upstream.id, connection.statedLength(), m_stream.pendingSize()));
-        if (!more)
-            co_return recordFailure(current, more.error());
         const auto before = m_stream.eventCount();
-        const auto completeEvents = m_stream.push(bytes);
-        if (!completeEvents) {
-            connection.abort();
-            co_return recordFailure(current, completeEvents.error());
-        }
+        const auto batch = m_stream.push(bytes);
         reservation.setSize(m_stream.pendingSize(), monotonicNow());
-        if (!current.eventCount && m_stream.eventCount() > before)
-            current.firstByteAt = monotonicNow();
-        const auto eventCountBefore = current.eventCount;
-        current.eventCount += m_stream.eventCount() - before;
-        onFirstEvents(current, eventCountBefore);
-        const bool isEmpty = current.eventCount == 0 && connection.endsWithConnection();
-        if (!*more && (isEmpty || !m_stream.isAtEventBoundary())) {
-            current.failure = isEmpty ? "the stream ended before its first event" : "the stream ended inside an event";
-            current.isLost = true;
-            co_return Outcome::MayHaveRun;
-        }
-        if (!co_await m_callerResponse.sendEvents(head, *completeEvents, !*more, m_deadline))
+        countEvents(current, m_stream.eventCount() - before);
+        const auto error = streamError(current, connection, more, batch);
+        const bool isLast = !error && !*more;
+        // Also before an error: these events count as passed on when the stream is resumed.
+        const bool isSent = co_await m_callerResponse.sendEvents(head, batch.events, isLast, m_deadline);
+        if (batch.error)
+            connection.abort();
+        if (error)
+            co_return recordFailure(current, *error);
+        if (!isSent)
             co_return Outcome::CallerDisconnected;
-        if (!*more)
+        if (isLast)
             co_return Outcome::Completed;
     }
 }
 
+std::optional<Error> RequestTask::streamError(
+    const Dispatch& current, const UpstreamConnection& connection, const Result<bool>& more, const EventStream::Batch& batch) const
+{
+    if (!more)
+        return more.error();
+    if (batch.error || *more)
+        return batch.error;
+    if (current.eventCount == 0 && connection.endsWithConnection())
+        return Error { ErrorCode::Unavailable, "the stream ended before its first event" };
+    if (!m_stream.isAtEventBoundary())
+        return Error { ErrorCode::Unavailable, "the stream ended inside an event" };
+    return std::nullopt;
+}
+
+void RequestTask::countEvents(Dispatch& current, int64_t events)
+{
+    if (!current.eventCount && events > 0)
+        current.firstByteAt = monotonicNow();
+    const auto before = current.eventCount;
+    current.eventCount += events;
+    onFirstEvents(current, before);
+}
+
 void RequestTask::onFirstEvents(const Dispatch& current, int64_t eventCountBefore)
 {
     if (eventCountBefore < eventsOfAnswer && current.eventCount >= eventsOfAnswer)
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -97,7 +97,14 @@
     void keepFailureResponse(BufferedResponse);
 
     Task<Outcome> forwardStream(Dispatch&, UpstreamConnection&, const ResponseHead&);
-    Task<bool> beginStream(const ResponseHead&);
+
+    /** @return why the stream is broken behind the events of a batch, if so. @param more result of the read that the batch is from. */
+    std::optional<Error> streamError(
+        const Dispatch&, const UpstreamConnection&, const Result<bool>& more, const EventStream::Batch& batch) const;
+
+    /** Counts the complete events of a read. */
+    void countEvents(Dispatch&, int64_t events);
+
     /** Applies what the upstream states about itself and about further requests of this node. */
     void applyStatements(const Dispatch&, const ResponseHead&, const ResponseMetadata&);
 
--- a/libs/gateway/tests/GatewayTests.cpp
+++ b/libs/gateway/tests/GatewayTests.cpp
@@ -75,25 +75,44 @@
 TEST_CASE("only complete, consecutive events are returned, and a partial event is discarded before the stream is resumed")
 {
     EventStream stream(std::nullopt);
-    CHECK(stream.push("id: 1\nda")->empty());
-    CHECK(*stream.push("ta: a\n\nid: 2\ndata: b\n\nid: 3\n") == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(stream.push("id: 1\nda").events.empty());
+    const auto batch = stream.push("ta: a\n\nid: 2\ndata: b\n\nid: 3\n");
+    CHECK_FALSE(batch.error);
+    CHECK(batch.events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     CHECK_FALSE(stream.isAtEventBoundary());
     stream.discardPartialEvent();
     CHECK(stream.lastEventId() == 2);
-    CHECK(*stream.push("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
-    CHECK_FALSE(stream.push("id: 3\ndata: c\n\n"));
+    CHECK(stream.push("id: 3\ndata: c\n\n").events == "id: 3\ndata: c\n\n");
+    CHECK(stream.push("id: 3\ndata: c\n\n").error);
     EventStream later(7);
-    CHECK_FALSE(later.push("id: 9\ndata: x\n\n"));
+    CHECK(later.push("id: 9\ndata: x\n\n").error);
 }
 
 TEST_CASE("an event without an identifier does not follow one with an identifier, a comment does")
 {
     EventStream stream(std::nullopt);
-    CHECK(stream.push("data: a\n\nid: 1\ndata: b\n\n: still here\n\n"));
+    CHECK_FALSE(stream.push("data: a\n\nid: 1\ndata: b\n\n: still here\n\n").error);
     CHECK(stream.eventCount() == 1);
-    CHECK_FALSE(stream.push("event: error\ndata: c\n\n"));
+    CHECK(stream.push("event: error\ndata: c\n\n").error);
     EventStream resumed(3);
-    CHECK_FALSE(resumed.push("data: error text\n\n"));
+    CHECK(resumed.push("data: error text\n\n").error);
+}
+
+// ORDER: events that were counted but not returned were missing in a stream that another upstream resumed.
+TEST_CASE("the events before a malformed one are returned together with the error, and no others are counted")
+{
+    const auto malformed = GENERATE(as<std::string> {}, "id: \x9b\xff\ndata: \xe1\x07\n\n", "id: 5\ndata: e\n\n", "id: 1\ndata: a\n\n",
+        "data: text\n\n", std::string(300UL * 1024, 'x'));
+    EventStream stream(std::nullopt);
+    CHECK(stream.push("id: 1\ndata: a\n\n").events == "id: 1\ndata: a\n\n");
+    const auto batch = stream.push("id: 2\ndata: b\n\nid: 3\ndata: c\n\n" + malformed + "id: 4\ndata: d\n\n");
+    CHECK(batch.events == "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    REQUIRE(batch.error);
+    CHECK(batch.error->code == ErrorCode::Protocol);
+    CHECK(stream.lastEventId() == 3);
+    CHECK(stream.eventCount() == 3);
+    stream.discardPartialEvent();
+    CHECK(stream.push("id: 4\ndata: d\n\n").events == "id: 4\ndata: d\n\n");
 }
 
 TEST_CASE("retries of all nodes together stay within the allowance")
