Number requests to other nodes from a random number on in each start

Cause: SlotAllocator counted requests for slots from 1 in each start. The pool's home still held requests of the earlier start, and its grants, which name a request by its number only, were taken for requests of the later start, whatever their service. The same held for requests for quota tokens and, in bronzeswitchd, for claims of idempotency keys; its slot requests began at a random number of 32 bits.

An unknown grant was already returned unused.

--- a/libs/gateway/include/gateway/QuotaEnforcer.h
+++ b/libs/gateway/include/gateway/QuotaEnforcer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/RequestIdSequence.h>
 #include <gateway/DecisionLog.h>
 #include <gateway/QuotaQueue.h>
 #include <net/Async.h>
@@ -135,7 +136,7 @@
     QuotaQueue m_queue;
     std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending;
     std::deque<RecentGrant> m_recentGrants; /**< Makes a resent request get the same response instead of taking tokens again. */
-    uint64_t m_lastRequestId = 0;
+    RequestIdSequence m_requestIds;
     int m_nodeCount = 1;
     TimePoint m_started;
     TimePoint m_nodeCountChanged;
--- a/libs/gateway/include/gateway/SlotAllocator.h
+++ b/libs/gateway/include/gateway/SlotAllocator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/RequestIdSequence.h>
 #include <gateway/CapacityMonitor.h>
 #include <gateway/DecisionLog.h>
 #include <gateway/RoutingTable.h>
@@ -119,7 +120,7 @@
             visit(name, pool);
     }
 
-    uint64_t nextRequestId() { return ++m_lastRequestId; }
+    uint64_t nextRequestId() { return m_requestIds.next(); }
     std::size_t waiting() const { return m_pending.size(); }
     int running() const { return m_running.count(); }
 
@@ -174,7 +175,7 @@
     CapacityMonitor m_capacityMonitor;
     std::map<std::string, double> m_requestLimits; /**< Requests a second by upstream. */
     SuspectedUpstreams m_suspected;
-    uint64_t m_lastRequestId = 0;
+    RequestIdSequence m_requestIds;
 };
 
 /**
--- a/libs/gateway/src/QuotaEnforcer.cpp
+++ b/libs/gateway/src/QuotaEnforcer.cpp
@@ -46,7 +46,7 @@
 
 Task<QuotaResult> QuotaEnforcer::acquire(std::string organisation, int tokens, QuotaWaits waits, TimePoint deadline)
 {
-    const QuotaRequest request { ++m_lastRequestId, std::move(organisation), tokens, waits.usual.count(), waits.afterTakeover.count() };
+    const QuotaRequest request { m_requestIds.next(), std::move(organisation), tokens, waits.usual.count(), waits.afterTakeover.count() };
     const auto longestWait = std::max(m_waitLimits.convergenceTimeout, waits.longest()) + m_waitLimits.lastTryGrace;
     const auto lastTry = std::min(deadline, monotonicNow() + longestWait);
     for (;;) {
--- a/libs/gateway/tests/SlotAllocatorTests.cpp
+++ b/libs/gateway/tests/SlotAllocatorTests.cpp
@@ -188,6 +188,23 @@
     CHECK(std::get<SlotRelease>(fixture.sent.back()).id == id + 7);
 }
 
+// ROUTE: after a quick restart, the home's grant to a request of the earlier start was used for a request to another service.
+TEST_CASE("a grant to a request of a node's earlier start is not taken by one of its next start")
+{
+    Fixture earlier;
+    const auto earlierId = earlier.acquire();
+    Fixture fixture;
+    const auto id = fixture.acquire();
+    fixture.allocator.onMessage(home, SlotRefusal { earlierId, RefusalReason::NoUpstream, 0 });
+    fixture.allocator.onMessage(home, SlotGrant { earlierId, "e1", "stable", "" });
+    fixture.loop.poll();
+    CHECK(fixture.results.empty());
+    CHECK(std::get<SlotRelease>(fixture.sent.back()).id == earlierId);
+    fixture.allocator.onMessage(home, SlotGrant { id, "e1", "stable", "" });
+    REQUIRE(fixture.runUntil([&] { return fixture.results.size() == 1; }));
+    CHECK(fixture.results[0]);
+}
+
 TEST_CASE("slots of a lost peer become free although their release was never received")
 {
     Fixture fixture;
--- a/libs/server/src/ClaimClient.cpp
+++ b/libs/server/src/ClaimClient.cpp
@@ -40,7 +40,7 @@
     const std::string& key, const std::string& attempt, ClaimMode mode, TimePoint deadline, const std::function<bool()>& isCancelled)
 {
     std::unique_lock lock(m_mutex);
-    const auto id = ++m_lastId;
+    const auto id = m_requestIds.next();
     auto& received = m_pendingRequests[id];
     TimePoint nextSend {};
     const auto unavailableUntil = std::min(deadline, TimePoint(std::chrono::steady_clock::now()) + unavailableTimeout);
--- a/libs/server/src/ClaimClient.h
+++ b/libs/server/src/ClaimClient.h
@@ -2,6 +2,7 @@
 
 #include "ControlView.h"
 
+#include <base/RequestIdSequence.h>
 #include <base/TimerService.h>
 #include <claims/ClaimHome.h>
 #include <protocol/Messages.h>
@@ -66,7 +67,7 @@
     std::condition_variable m_changed;
     std::map<uint64_t, std::optional<ClaimResponse>> m_pendingRequests; /**< By request ID; holds the response once it has arrived. */
     std::deque<RecentOutcome> m_recentOutcomes;
-    uint64_t m_lastId = 0;
+    RequestIdSequence m_requestIds;
 };
 
 /** @return the node that is the home of a claim partition. */
--- a/libs/server/src/SlotClient.cpp
+++ b/libs/server/src/SlotClient.cpp
@@ -25,10 +25,8 @@
 
 } // namespace
 
-// IDs start at a random number, so that a restarted node does not reuse those of its previous incarnation.
 SlotClient::SlotClient(Options options)
     : m_options(std::move(options))
-    , m_lastId(std::random_device {}())
 {
 }
 
@@ -44,7 +42,7 @@
 tl::expected<SlotGrant, SlotRefusal> SlotClient::acquire(SlotRequest& request, TimePoint deadline, const std::function<bool()>& isCancelled)
 {
     std::unique_lock lock(m_mutex);
-    request.id = ++m_lastId;
+    request.id = m_requestIds.next();
     auto& pending = m_pendingRequests[request.id];
     pending.request = request;
     pending.deadline = deadline;
--- a/libs/server/src/SlotClient.h
+++ b/libs/server/src/SlotClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/RequestIdSequence.h>
 #include <base/TimerService.h>
 #include <protocol/Messages.h>
 
@@ -74,7 +75,7 @@
     std::condition_variable m_changed;
     std::map<uint64_t, PendingRequest> m_pendingRequests; /**< By request ID. */
     std::map<uint64_t, RunningDispatch> m_runningDispatches; /**< By request ID. */
-    uint64_t m_lastId = 0;
+    RequestIdSequence m_requestIds;
 };
 
 } // namespace bronzeswitch
