Drop what a node's earlier start held when its later start reports

Cause: a report of a later start replaced the earlier one at its receiver, and nobody told SlotAllocator.

--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -65,6 +65,10 @@
     /** Processes a report. @return true if its peer was not live before. */
     bool onReport(const std::string& address, const NodeReport&, TimePoint now);
 
+    /** @return true if a report comes from a later start of a live peer than its last report, so that what the earlier start held is gone.
+     */
+    bool isFromLaterStart(const std::string& address, const NodeReport&) const;
+
     /** Drops addresses without recent reports. @return the addresses of peers that have stopped being live. */
     std::vector<std::string> expire(TimePoint now);
 
--- a/libs/gateway/include/gateway/SlotAllocator.h
+++ b/libs/gateway/include/gateway/SlotAllocator.h
@@ -101,7 +101,7 @@
     /** @return the upstreams that this node suspects by its own counts and those of its peers. */
     std::vector<std::string> suspects() { return m_suspected.byCounts(monotonicNow()); }
 
-    /** Frees the slots that a lost peer holds here and drops its requests. */
+    /** Frees the slots that a lost peer, or the earlier start of one that has restarted, holds here and drops its requests. */
     void onPeerLost(const std::string& peer);
 
     /** @return this node's running requests and speed estimates by upstream, for its reports to peers. */
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -381,6 +381,10 @@
             m_slots.onMessage(sender, *message);
         return;
     }
+    if (m_peers.isFromLaterStart(sender, *report)) {
+        m_log.write(events::membersChanged, { { "restarted", report->node }, { "members", m_peers.liveNodeCount() } });
+        m_slots.onPeerLost(sender);
+    }
     if (m_peers.onReport(sender, *report, monotonicNow())) {
         m_log.write(events::membersChanged, { { "found", report->node }, { "members", m_peers.liveNodeCount() } });
         auto response = makeReport();
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -57,6 +57,12 @@
     return isNewlyLive;
 }
 
+bool PeerView::isFromLaterStart(const std::string& address, const NodeReport& report) const
+{
+    const auto peer = m_peers.find(address);
+    return peer != m_peers.end() && peer->second.isLive && report.incarnation > peer->second.report.incarnation;
+}
+
 std::vector<std::string> PeerView::expire(TimePoint now)
 {
     m_now = now;
