Do not use a grant of an upstream of another service

Cause: RequestTask sent a request to the upstream that its grant named; no step compared the upstream's service with the request's. A wrong grant, whatever its reason, was enough.

Why it works: the check runs together with those for leaving upstreams, before the connection and again before the request is sent.

--- a/libs/gateway/src/DispatchCheck.cpp
+++ b/libs/gateway/src/DispatchCheck.cpp
@@ -2,9 +2,14 @@
 
 namespace bronzeswitch {
 
-const char* reasonToWithhold(GatewayContext& context, const std::string& upstream, TimePoint grantedAt, TimePoint now)
+const char* reasonToWithhold(
+    GatewayContext& context, const std::string& service, const std::string& upstream, TimePoint grantedAt, TimePoint now)
 {
     const auto* entry = context.directory.find(upstream);
+    if (entry && entry->service != service) {
+        context.metrics.countIncident("grant-of-other-service");
+        return "the upstream belongs to another service";
+    }
     const bool isLeaving = !entry || entry->isDraining;
     if (entry && isLeaving)
         context.notices.onWithheld(*entry, now);
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -293,7 +293,7 @@
 
 bool RequestTask::withhold(Dispatch& current)
 {
-    const auto* reason = reasonToWithhold(m_context, current.upstream.id, current.grantedAt, monotonicNow());
+    const auto* reason = reasonToWithhold(m_context, m_service, current.upstream.id, current.grantedAt, monotonicNow());
     current.isWithheld = reason != nullptr;
     if (reason)
         current.failure = reason;
