--- a/libs/gateway/include/gateway/UpstreamDirectory.h
+++ b/libs/gateway/include/gateway/UpstreamDirectory.h
@@ -42,7 +42,8 @@
 public:
     /**
      * Adds or updates an entry, and cancels a delayed removal. An outdated entry is ignored.
-     * @return true if it is new or more than its heartbeat and the remaining time of its cold start has changed.
+     * @return true if it is new, cancels a delayed removal, or more than its heartbeat and the remaining time of its cold start has
+     * changed.
      */
     bool put(const UpstreamEntry&);
 
--- a/libs/gateway/src/UpstreamDirectory.cpp
+++ b/libs/gateway/src/UpstreamDirectory.cpp
@@ -44,7 +44,7 @@
     if (isOutdated(entry))
         return false;
     m_removed.erase(entry.id);
-    m_pendingRemovals.erase(entry.id);
+    const bool isRemovalCancelled = m_pendingRemovals.erase(entry.id) > 0;
     if (entry.isDraining)
         m_listedDraining.insert(entry.id);
     else
@@ -54,7 +54,7 @@
     auto& known = m_entries[entry.id];
     const bool isChanged = !isSameExceptHeartbeat(known, current);
     known = current;
-    return isChanged;
+    return isChanged || isRemovalCancelled;
 }
 
 bool UpstreamDirectory::hasStatedLeaving(const UpstreamEntry& entry) const
