Do not take the reset of a connection for the end of a response

Cause: a socket reports its error once. With a write pending, the event loop gives it to the write, and the read gets an orderly end; UpstreamConnection::readSome looked at the read only.

Why it works: a response that ends with its connection is complete only if the write has not failed.

--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -47,7 +47,7 @@
     /**
      * Reads the next part of the body.
      * @param body the part is appended to it.
-     * @return true if more may follow, false at the end of a complete body.
+     * @return true if more may follow, false at the end of a complete body; Unavailable if the connection was reset before.
      */
     Task<Result<bool>> readSome(std::string& body, TimePoint deadline);
 
@@ -80,8 +80,13 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     struct PendingWrite {
+        explicit PendingWrite(Executor executor, OutgoingRequest outgoing)
+            : request(std::move(outgoing))
+            , ended(executor)
+        {
+        }
         OutgoingRequest request;
-        bool isDone = false;
+        AsyncEvent ended;
         bool isFailed = false;
     };
 
@@ -89,6 +94,9 @@
 
     Error toError(const boost::system::error_code&) const;
     void startWrite(OutgoingRequest);
+
+    /** @return true if the end of the connection was a reset, which the write of the request noticed in place of the read. */
+    Task<bool> wasReset();
     void resetParser();
     void updateIdleTimeout(const ResponseHead&);
 
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t readBlockBytes = 16UL * 1024;
 constexpr int maxInterimResponses = 8; // Before the final response.
 
+constexpr Duration writeErrorDelay { 20 }; // For a write's error that the event loop has not reported yet.
+
 bool isInterim(int status) { return status >= 100 && status < 200; }
 
 Duration parseKeepAliveTimeout(const std::string& field)
@@ -64,13 +66,12 @@
 
 void UpstreamConnection::startWrite(OutgoingRequest request)
 {
-    m_write = std::make_shared<PendingWrite>();
-    m_write->request = std::move(request);
+    m_write = std::make_shared<PendingWrite>(m_stream->get_executor(), std::move(request));
     const auto& pending = m_write->request;
     const std::array buffers { asio::buffer(pending.head), asio::buffer(*pending.body) };
     asio::async_write(*m_stream, buffers, [write = m_write, stream = m_stream](const boost::system::error_code& error, std::size_t) {
-        write->isDone = true;
         write->isFailed = static_cast<bool>(error);
+        write->ended.set();
     });
 }
 
@@ -101,9 +102,10 @@
         if (error)
             co_return tl::unexpected(toError(error));
         const auto& message = m_parser->get();
-        if (isInterim(static_cast<int>(message.result_int())))
+        const auto status = static_cast<int>(message.result_int());
+        if (isInterim(status))
             continue;
-        ResponseHead head { static_cast<int>(message.result_int()), std::string(message.reason()), message.base() };
+        ResponseHead head { status, std::string(message.reason()), message.base() };
         updateIdleTimeout(head);
         co_return head;
     }
@@ -133,11 +135,20 @@
         if (filled && !m_parser->is_done())
             co_return true;
     }
+    if (endsWithConnection() && co_await wasReset())
+        co_return tl::unexpected(toError(asio::error::connection_reset));
     m_isComplete = true;
     m_lastUsed = monotonicNow();
     co_return false;
 }
 
+// A socket reports the reset of its connection once. If a write is pending, it gets the error, and a read sees an orderly end.
+Task<bool> UpstreamConnection::wasReset()
+{
+    co_await m_write->ended.wait(monotonicNow() + writeErrorDelay);
+    co_return m_write->isFailed;
+}
+
 Task<Result<std::string>> UpstreamConnection::readBody(TimePoint deadline, std::size_t limit)
 {
     std::string body;
@@ -167,7 +178,7 @@
 
 bool UpstreamConnection::isReusable() const
 {
-    const bool isWritten = m_write && m_write->isDone && !m_write->isFailed;
+    const bool isWritten = m_write && m_write->ended.isSet() && !m_write->isFailed;
     return isWritten && m_isComplete && !m_isAborted && m_buffer.size() == 0 && m_parser && m_parser->keep_alive();
 }
 
