Take a response only with a final status of HTTP

Cause: no step between the parser and the caller compared the status with HTTP's range, and 101 counted as an interim status. In bronzeswitchd libcurl refuses 000 and 099, but passes 101, 600 and 999 on.

Why it works: both clients return an error for a status outside of 200 to 599, before anything else looks at the response.

--- a/libs/base/include/base/HttpStatus.h
+++ b/libs/base/include/base/HttpStatus.h
@@ -3,6 +3,7 @@
 /** HTTP status codes that the project uses. */
 namespace bronzeswitch::httpstatus {
 
+inline constexpr int switchingProtocols = 101;
 inline constexpr int ok = 200;
 inline constexpr int badRequest = 400;
 inline constexpr int unauthorized = 401;
@@ -23,6 +24,10 @@
 inline constexpr int gatewayTimeout = 504;
 
 constexpr bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+/** @return true for a status that ends the exchange of a request: not an interim one, and within the range of HTTP. */
+constexpr bool isFinal(int status) { return status >= 200 && status < 600; }
+
 constexpr bool isServerFailure(int status) { return status >= 500; }
 
 /** @return true for a status from which a caller may conclude that its request has not run. */
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -1,3 +1,4 @@
+#include <base/HttpStatus.h>
 #include <http/HttpClient.h>
 
 #include <curl/curl.h>
@@ -186,6 +187,8 @@
         long status = 0;
         curl_easy_getinfo(m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
         m_response.status = static_cast<int>(status);
+        if (!httpstatus::isFinal(m_response.status))
+            return makeError(ErrorCode::Protocol, "status " + std::to_string(status) + " is not a final one of HTTP");
         return m_response;
     }
 
--- a/libs/http/tests/HttpTests.cpp
+++ b/libs/http/tests/HttpTests.cpp
@@ -66,6 +66,21 @@
         ::close(connection);
     }
 
+    // Answers the beginning of an upload, which it leaves unread, and resets the connection after a pause.
+    void answerAndReset(const std::string& bytes, std::chrono::milliseconds pause) const
+    {
+        constexpr int receiveBufferBytes = 4096;
+        ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+        const int connection = ::accept(m_listener, nullptr, nullptr);
+        char first = 0;
+        static_cast<void>(::recv(connection, &first, 1, 0));
+        static_cast<void>(::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+        std::this_thread::sleep_for(pause);
+        const linger atOnce { 1, 0 };
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+        ::close(connection);
+    }
+
     std::string authority() const { return "127.0.0.1:" + std::to_string(m_port); }
 
 private:
@@ -212,3 +227,29 @@
     REQUIRE(response);
     CHECK(response->body == "done");
 }
+
+// MIXED: a caller would get a part of a response as a whole one.
+TEST_CASE("a response without a length whose connection is reset while the request is sent is a failed call")
+{
+    const auto pause = GENERATE(0, 50, 300);
+    CAPTURE(pause);
+    const RawServer server;
+    std::thread thread([&] { server.answerAndReset("HTTP/1.1 200 OK\r\n\r\nhalf of the response", std::chrono::milliseconds(pause)); });
+    const std::string upload(32UL * 1024 * 1024, 'x');
+    const auto response = httpCall({ "POST", "/", {}, upload, "" }, server.authority(), {});
+    thread.join();
+    REQUIRE(!response);
+    CHECK(response.error().code == ErrorCode::Unavailable);
+}
+
+// MIXED: a caller would get a status that HTTP doesn't have.
+TEST_CASE("a response whose status is not a final one of HTTP is a failed call")
+{
+    const auto status = GENERATE("000", "099", "101", "600", "999");
+    CAPTURE(status);
+    const RawServer server;
+    std::thread thread([&] { server.serveOne(std::string("HTTP/1.1 ") + status + " Status\r\nContent-Length: 4\r\n\r\nbody"); });
+    const auto response = httpCall({ "GET", "/", {}, "", "" }, server.authority(), {});
+    thread.join();
+    CHECK(!response);
+}
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -38,7 +38,10 @@
     UpstreamConnection(const UpstreamConnection&) = delete;
     UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
-    /** Sends a request and reads the head of its response. @return the head, or Timeout when the deadline passed. */
+    /**
+     * Sends a request and reads the head of its response.
+     * @return the head, Timeout when the deadline passed, or Protocol if its status is not a final one of HTTP.
+     */
     Task<Result<ResponseHead>> exchange(OutgoingRequest, TimePoint deadline);
 
     /** Reads the head of the next response without sending anything, after skipping a response to an earlier request. */
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -1,6 +1,7 @@
 #include "SocketOptions.h"
 
 #include <array>
+#include <base/HttpStatus.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -19,7 +20,8 @@
 
 constexpr Duration writeErrorDelay { 20 }; // For a write's error that the event loop has not reported yet.
 
-bool isInterim(int status) { return status >= 100 && status < 200; }
+// A connection does not switch to another protocol, since no request asks for that.
+bool isInterim(int status) { return status >= 100 && status < 200 && status != httpstatus::switchingProtocols; }
 
 Duration parseKeepAliveTimeout(const std::string& field)
 {
@@ -105,6 +107,8 @@
         const auto status = static_cast<int>(message.result_int());
         if (isInterim(status))
             continue;
+        if (!httpstatus::isFinal(status))
+            co_return fail(ErrorCode::Protocol, "status " + std::to_string(status) + " is not a final one of HTTP");
         ResponseHead head { status, std::string(message.reason()), message.base() };
         updateIdleTimeout(head);
         co_return head;
--- a/libs/net/tests/UpstreamConnectionTests.cpp
+++ b/libs/net/tests/UpstreamConnectionTests.cpp
@@ -121,3 +121,27 @@
     REQUIRE(*fixture.response);
     CHECK((*fixture.response)->body == "done");
 }
+
+// MIXED: a status that HTTP doesn't have was passed on as it was.
+TEST_CASE("a response whose status is not a final one of HTTP is none")
+{
+    const auto status = GENERATE("000", "001", "099", "101", "600", "999");
+    CAPTURE(status);
+    UploadFixture fixture;
+    fixture.begin(std::string("HTTP/1.1 ") + status + " Status\r\nContent-Length: 4\r\n\r\nbody", 1);
+    REQUIRE(fixture.runUntil([&] { return fixture.hasResult(); }));
+    REQUIRE_FALSE(*fixture.response);
+    CHECK(fixture.response->error().code == ErrorCode::Protocol);
+}
+
+TEST_CASE("interim responses are skipped, and the first and the last final status are taken")
+{
+    const auto status = GENERATE(200, 599);
+    UploadFixture fixture;
+    fixture.begin("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " + std::to_string(status)
+            + " Status\r\nContent-Length: 4\r\n\r\nbody",
+        1);
+    REQUIRE(fixture.runUntil([&] { return fixture.hasResult(); }));
+    REQUIRE(*fixture.response);
+    CHECK((*fixture.response)->head.status == status);
+}
