Do not pass on an event whose identifier is not a number

Spoiled bytes that begin a stream, with an identifier that is no number, came before the stream's proper events (MIXED), or gave a wrong number: "1x" counted as event 1.

Cause: EventStream took an identifier that it could not read for none, and an event without one may begin a stream. A number with other characters behind it was taken as the number.

Why it works: an identifier that is not a number as a whole is an error of the upstream, so the stream is broken off there, or run by another one. Streams whose events have no identifiers pass as before.

--- a/libs/gateway/include/gateway/EventStream.h
+++ b/libs/gateway/include/gateway/EventStream.h
@@ -26,7 +26,8 @@
     /** The outcome of a push. */
     struct Batch {
         std::string events; /**< The events that are complete now, unchanged; without those from an error on. */
-        std::optional<Error> error; /**< Protocol if an event is missing, duplicated, too large, or has no identifier after one that has. */
+        /** Protocol if an event is missing, duplicated or too large, or if its identifier is not a number or is missing after others. */
+        std::optional<Error> error;
     };
 
     /** @param lastEventId last event that the caller has received before, if any; the stream starts after it. */
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -9,7 +9,8 @@
 constexpr std::string_view idField = "id:";
 constexpr std::size_t maxEventBytes = 256UL * 1024;
 
-std::optional<int64_t> parseEventId(std::string_view event)
+// Returns no value for an event without an identifier, and an error if it has one that is not a number.
+Result<std::optional<int64_t>> parseEventId(std::string_view event)
 {
     std::size_t start = 0;
     while (start < event.size()) {
@@ -22,9 +23,11 @@
         if (line.starts_with(' '))
             line.remove_prefix(1);
         int64_t id = 0;
-        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (parsed.ec == std::errc())
-            return id;
+        const auto* lineEnd = line.data() + line.size();
+        const auto parsed = std::from_chars(line.data(), lineEnd, id);
+        if (parsed.ec != std::errc() || parsed.ptr != lineEnd)
+            return fail(ErrorCode::Protocol, "an event's id is not a number");
+        return id;
     }
     return std::nullopt;
 }
@@ -61,7 +64,10 @@
 
 std::optional<Error> EventStream::acceptEvent(std::string_view event)
 {
-    const auto id = parseEventId(event);
+    const auto parsed = parseEventId(event);
+    if (!parsed)
+        return parsed.error();
+    const auto& id = *parsed;
     if (!id && m_lastEventId && !isComment(event))
         return Error { ErrorCode::Protocol, "an event without an id follows event id " + std::to_string(*m_lastEventId) };
     if (!id)
