Release a request to an upstream once it has been written

Cause: a connection kept its last request, with the body, until its next one; the pool keeps up to 8 idle connections for each upstream.

Why it works: the buffers of a write are used only until it ends, and its handler is the last one that needs them.

--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -88,7 +88,7 @@
             , ended(executor)
         {
         }
-        OutgoingRequest request;
+        OutgoingRequest request; /**< Released when the write has ended. */
         AsyncEvent ended;
         bool isFailed = false;
     };
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -73,6 +73,7 @@
     const std::array buffers { asio::buffer(pending.head), asio::buffer(*pending.body) };
     asio::async_write(*m_stream, buffers, [write = m_write, stream = m_stream](const boost::system::error_code& error, std::size_t) {
         write->isFailed = static_cast<bool>(error);
+        write->request = {};
         write->ended.set();
     });
 }
--- a/libs/net/tests/UpstreamConnectionTests.cpp
+++ b/libs/net/tests/UpstreamConnectionTests.cpp
@@ -25,12 +25,17 @@
         acceptor.listen();
     }
 
-    // Sends a request, and has the server write the bytes after the request's head.
+    // Uploads a body, and has the server write the bytes after the request's head.
     void begin(const std::string& answer, std::size_t bodyBytes = uploadBytes)
     {
         OutgoingRequest request;
         request.body = std::make_shared<const std::string>(bodyBytes, 'x');
         request.head = formatRequestHead("POST", "/", HttpFields(), bodyBytes);
+        begin(answer, std::move(request));
+    }
+
+    void begin(const std::string& answer, OutgoingRequest request)
+    {
         asio::co_spawn(loop, pool.call(acceptor.local_endpoint(), std::move(request), monotonicNow() + callTimeout, 1U << 20U),
             [this](const std::exception_ptr&, Result<FullHttpResponse> result) { response = std::move(result); });
         bool isHeadRead = false;
@@ -68,6 +73,22 @@
 
 } // namespace
 
+// Memory: idle connections kept the bodies of finished requests.
+TEST_CASE("a request is released once it has been written, whatever its connection does then")
+{
+    UploadFixture fixture;
+    OutgoingRequest request;
+    request.body = std::make_shared<const std::string>("body");
+    request.head = formatRequestHead("POST", "/", HttpFields(), request.body->size());
+    const std::weak_ptr<const std::string> body = request.body;
+    fixture.begin("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nfirst part", std::move(request));
+    CHECK(fixture.runUntil([&] { return body.expired(); }));
+    CHECK_FALSE(fixture.hasResult());
+    asio::write(fixture.server, asio::buffer(std::string(90, 'x')));
+    REQUIRE(fixture.runUntil([&] { return fixture.hasResult(); }));
+    CHECK(*fixture.response);
+}
+
 // MIXED: the pending write took the socket's error, and the read saw an orderly end.
 TEST_CASE("a response without a length whose connection is reset while the request is written is not complete")
 {
