Move the reading of response bodies out of RequestTask

Reading a body within the memory for responses needs nothing of the request but its identifier, so it is a module of its own; nothing in its behaviour changes.

--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -35,6 +35,7 @@
     , m_callerResponse(context, caller, request.keep_alive())
     , m_request(std::move(request))
     , m_resolved(resolveRequest(context, m_request))
+    , m_bodies(context, m_resolved.metadata.requestId)
     , m_arrivedAt(monotonicNow())
     , m_deadline(m_arrivedAt)
 {
@@ -356,7 +357,7 @@
         current.isConnectionUsed = true;
         m_context.log.write(events::answerDropped,
             { { "request", m_resolved.metadata.requestId }, { "upstream", current.upstream.id }, { "answers", metadata.requestId } });
-        const auto skipped = co_await readBody(current, connection, maxDiscardedBytes, m_deadline);
+        const auto skipped = co_await m_bodies.read(current.upstream.id, connection, maxDiscardedBytes, m_deadline);
         if (!skipped)
             co_return tl::unexpected(skipped.error());
         head = co_await connection.readHead(m_deadline);
@@ -402,10 +403,10 @@
     current.failure = "status " + std::to_string(head.status);
     if (isForThisRequest && (metadata.isNotRun || metadata.isMisdirected)) {
         // Reads the rest of the response so that the connection can be reused.
-        co_await readBody(current, connection, maxDiscardedBytes, std::min(m_deadline, monotonicNow() + discardTimeout));
+        co_await m_bodies.read(current.upstream.id, connection, maxDiscardedBytes, std::min(m_deadline, monotonicNow() + discardTimeout));
         co_return Outcome::NotRun;
     }
-    auto body = co_await readBody(current, connection, maxResponseBytes, m_deadline);
+    auto body = co_await m_bodies.read(current.upstream.id, connection, maxResponseBytes, m_deadline);
     if (!body)
         co_return recordFailure(current, body.error());
     if (!isForThisRequest || !metadata.isSigned || httpstatus::impliesNotRun(head.status))
@@ -436,43 +437,9 @@
         { { "upstream", current.upstream.id }, { "pauseMs", metadata.retryAfter->count() }, { "source", "response" } });
 }
 
-Task<Result<BufferedBody>> RequestTask::readBody(
-    const Dispatch& current, UpstreamConnection& connection, std::size_t limit, TimePoint deadline)
-{
-    const auto statedLength = connection.statedLength();
-    if (statedLength && *statedLength > limit)
-        co_return fail(ErrorCode::Protocol, "the response body is too large: " + std::to_string(*statedLength) + " bytes");
-    BufferedBody body { {}, BodyReservation(m_context.bodyMemory, current.upstream.id, [&connection] { connection.abort(); }) };
-    Result<bool> more = true;
-    while (more && *more && body.text.size() <= limit && !body.reservation.isGivenUp()) {
-        more = co_await connection.readSome(body.text, deadline);
-        if (more && !*more)
-            body.reservation.setComplete([] {}, monotonicNow());
-        body.reservation.setSize(body.text.capacity(), monotonicNow());
-    }
-    if (body.reservation.isGivenUp())
-        co_return tl::unexpected(recordGivenUp(current.upstream.id, statedLength, body.text.size()));
-    if (!more)
-        co_return tl::unexpected(more.error());
-    if (*more)
-        co_return fail(ErrorCode::Protocol, "the response body is too large");
-    co_return body;
-}
-
-Error RequestTask::recordGivenUp(const std::string& upstream, std::optional<uint64_t> statedLength, std::size_t bytes) const
-{
-    m_context.metrics.countIncident("body-given-up");
-    m_context.log.write(events::bodyGivenUp,
-        { { "request", m_resolved.metadata.requestId }, { "upstream", upstream }, { "bytes", bytes },
-            { "hasLength", statedLength.has_value() }, { "bytesOfAll", m_context.bodyMemory->size() } });
-    // Without a stated length, the response may have no end.
-    return { statedLength ? ErrorCode::Exhausted : ErrorCode::Protocol,
-        "given up: the upstream's responses take most of the memory for responses" };
-}
-
 Task<RequestTask::Outcome> RequestTask::forwardResponse(Dispatch& current, UpstreamConnection& connection, ResponseHead head)
 {
-    auto body = co_await readBody(current, connection, maxResponseBytes, m_deadline);
+    auto body = co_await m_bodies.read(current.upstream.id, connection, maxResponseBytes, m_deadline);
     if (!body)
         co_return recordFailure(current, body.error());
     BufferedResponse response { current.upstream.id, std::move(head), std::move(*body) };
@@ -491,7 +458,7 @@
     body.reservation.setComplete([this] { m_callerResponse.reset(); }, monotonicNow());
     const bool isSent = co_await m_callerResponse.send(head, body.text, m_deadline);
     if (body.reservation.isGivenUp())
-        recordGivenUp(upstream, body.text.size(), body.text.size());
+        m_bodies.recordGivenUp(upstream, body.text.size(), body.text.size());
     co_return isSent;
 }
 
@@ -503,7 +470,8 @@
         std::string bytes;
         const auto more = co_await connection.readSome(bytes, m_deadline);
         if (reservation.isGivenUp())
-            co_return recordFailure(current, recordGivenUp(current.upstream.id, connection.statedLength(), m_stream.pendingSize()));
+            co_return recordFailure(
+                current, m_bodies.recordGivenUp(current.upstream.id, connection.statedLength(), m_stream.pendingSize()));
         const auto before = m_stream.eventCount();
         const auto batch = m_stream.push(bytes);
         reservation.setSize(m_stream.pendingSize(), monotonicNow());
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyReader.h"
 #include "CallerResponse.h"
 #include "Dispatch.h"
 #include "ResolvedRequest.h"
@@ -81,18 +82,8 @@
 
     Task<Outcome> handleResponse(Dispatch&, UpstreamConnection&, const ResponseHead&);
 
-    /**
-     * Reads a body completely.
-     * @param limit size in bytes.
-     * @return Protocol if the body is larger, Exhausted if it had to be given up although it states a length within the limit.
-     */
-    Task<Result<BufferedBody>> readBody(const Dispatch&, UpstreamConnection&, std::size_t limit, TimePoint deadline);
-
     Task<Outcome> forwardResponse(Dispatch&, UpstreamConnection&, ResponseHead);
 
-    /** Logs that a response had to be given up. @return the error, which tells whether that shows a fault of the upstream. */
-    Error recordGivenUp(const std::string& upstream, std::optional<uint64_t> statedLength, std::size_t bytes) const;
-
     /** Keeps the response of an upstream that failed, for a caller whose request no other upstream completes. */
     void keepFailureResponse(BufferedResponse);
 
@@ -160,6 +151,7 @@
     CallerResponse m_callerResponse;
     FullHttpRequest m_request;
     ResolvedRequest m_resolved;
+    BodyReader m_bodies;
     std::shared_ptr<const std::string> m_body;
     std::string m_service;
     TimePoint m_arrivedAt;
