End a stream whose events could not be sent, before another upstream runs it

Where a read brought events and an error, and these events could not be sent, the request could be dispatched once more for a caller that was gone.

Cause: the error was examined before the result of sending. The same order as for a read without an error is used now.

Evidence: by reading; the connection is unusable after a write that failed, so no test sees a difference at the caller. The tests of streams pass.

--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -65,8 +65,7 @@
     /** Processes a report. @return true if its peer was not live before. */
     bool onReport(const std::string& address, const NodeReport&, TimePoint now);
 
-    /** @return true if a report comes from a later start of a live peer than its last report, so that what the earlier start held is gone.
-     */
+    /** @return true if a report is the first one of a live peer's later start; what its earlier start held is gone then. */
     bool isFromLaterStart(const std::string& address, const NodeReport&) const;
 
     /** Drops addresses without recent reports. @return the addresses of peers that have stopped being live. */
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -482,10 +482,10 @@
         const bool isSent = co_await m_callerResponse.sendEvents(head, batch.events, isLast, m_deadline);
         if (batch.error)
             connection.abort();
-        if (error)
-            co_return recordFailure(current, *error);
         if (!isSent)
             co_return Outcome::CallerDisconnected;
+        if (error)
+            co_return recordFailure(current, *error);
         if (isLast)
             co_return Outcome::Completed;
     }
