Log when a node learns of a newer routing and what it does until it has it

An operator who looked for the cause of a late change saw the copies that were given up, but not those that busy holders refused, nor when the node had learned of the version. So a slow spread, a silent holder and a read of the source that fails could not be told apart.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -56,6 +56,8 @@
 inline constexpr Event routingRead { 228, "routing-read", EventLevel::Info, "A version of the routing was read, or taken from a peer." };
 inline constexpr Event removalDelayed { 229, "removal-delayed", EventLevel::Info,
     "An upstream's removal was read soon after the source had been out of contact, and is carried out later." };
+inline constexpr Event routingOutdated { 230, "routing-outdated", EventLevel::Info,
+    "A peer has a newer version of the routing than this node." };
 inline constexpr Event membersChanged { 300, "members-changed", EventLevel::Info, "The set of live, ready nodes has changed." };
 inline constexpr Event delegateChanged { 301, "delegate-changed", EventLevel::Info,
     "This node begins or ceases to exchange reports with the nodes of all data centres." };
--- a/libs/gateway/include/gateway/StateFetcher.h
+++ b/libs/gateway/include/gateway/StateFetcher.h
@@ -31,6 +31,9 @@
     /** @return true if a peer has a newer routing than this node. */
     bool isRoutingOutdated() const { return !newerRoutingHolders().empty(); }
 
+    /** @return what this node has done since it learned of a newer routing that it still lacks, to be logged. */
+    nlohmann::json describeCatchUp() const;
+
     /** Sets the position in the directory's changes up to which this node has read. */
     void setDirectoryPosition(const SourcePosition&);
     const SourcePosition& directoryPosition() const { return m_directoryPosition; }
@@ -42,8 +45,22 @@
         bool needsDirectory = false; /**< The directory is fetched as well as the routing. */
     };
 
+    /** What was done since this node learned of a newer routing that it still lacks. */
+    struct CatchUp {
+        TimePoint since;
+        int fetches = 0;
+        int refusedFetches = 0;
+        int failedFetches = 0;
+        int sourceReads = 0;
+    };
+
     std::vector<StateHolder> newerRoutingHolders() const;
 
+    /** Begins or ends the catching up. @param holders peers that have a newer routing. */
+    void updateCatchUp(const std::vector<StateHolder>& holders, TimePoint now);
+
+    void count(int CatchUp::*counter);
+
     /**
      * Looks for a peer that has a newer routing, or that has read more of the directory while this node's position stays the same.
      * @return the peer to fetch from now, or nothing.
@@ -62,7 +79,7 @@
     std::function<void(const std::string&)> m_applyState;
     SourcePosition m_directoryPosition;
     TimePoint m_directoryPositionChangedAt {};
-    std::optional<TimePoint> m_outdatedSince; /**< When this node learned of a newer routing that it still lacks. */
+    std::optional<CatchUp> m_catchUp; /**< Absent while no peer has a newer routing. */
     std::minstd_rand m_random { std::random_device {}() };
     bool m_isStopping = false;
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -174,7 +174,10 @@
     if (current && table->version() <= current->version())
         return false;
     const bool wasReady = isReady();
-    m_log.write(events::routingInForce, { { "version", table->version() }, { "before", current ? current->version() : 0 } });
+    auto fields = m_stateFetcher.describeCatchUp();
+    fields["version"] = table->version();
+    fields["before"] = current ? current->version() : 0;
+    m_log.write(events::routingInForce, std::move(fields));
     m_context.routing = std::move(table);
     m_quotas.configure(*m_context.routing);
     configureSlots();
