Move the choice of state fetches into a class of its own that tests can drive

StateFetcher held the order of its attempts in the sequence of its waits, so the model of a spreading routing in StateFetchTests had to copy it. StateFetchPlan decides when an attempt starts and at which peer, and StateFetcher only carries it out. With one attempt at a time, as the policy says, nothing changes for peers, except that copies which have become needless are aborted, and that a read of the source no longer holds up the next fetch. The model drives the same class now, and can freeze nodes.

--- a/libs/gateway/include/gateway/StateFetchPolicy.h
+++ b/libs/gateway/include/gateway/StateFetchPolicy.h
@@ -28,6 +28,9 @@
 struct StateFetchPolicy {
     Duration retryInterval { 100 }; /**< Pause between two attempts. */
     Duration timeout { 1500 }; /**< Of one attempt. */
+    std::size_t maxConcurrent = 1; /**< Attempts that run at the same time. */
+    Duration stallTime { 300 }; /**< An attempt that has made no progress for this long does not hold up another one. */
+    Duration avoidanceTime { 0 }; /**< For this long, other peers are preferred to one that did not respond. */
     ResponseLimit responseLimit { 64UL * 1024, 3 }; /**< Of the serving peer: a slow link carries few copies at a time. */
     Duration ownDataCentreOnly { 400 }; /**< Time for which only peers in the own data centre are chosen. */
     Duration sourceDelay { 1200 }; /**< Time after which the node reads the source itself. */
--- a/libs/gateway/include/gateway/StateFetcher.h
+++ b/libs/gateway/include/gateway/StateFetcher.h
@@ -2,6 +2,7 @@
 
 #include <gateway/GatewayContext.h>
 #include <gateway/PeerView.h>
+#include <gateway/StateFetchPlan.h>
 
 #include <optional>
 #include <random>
@@ -67,7 +68,17 @@
      */
     std::optional<Target> chooseTarget();
 
-    Task<void> fetchFrom(const Target&);
+    void startFetch(Target);
+    Task<void> fetch(Target);
+
+    /** Requests a peer's state and reads it. @return the state, or an error; Conflict if the peer serves enough copies. */
+    Task<Result<std::string>> request(const Target&);
+
+    /** Ends the attempts that have become needless because no peer has a newer routing. */
+    void abortNeedlessFetches();
+
+    void startSourceRead();
+    Task<void> readSource();
 
     /** @return how long this node has known of a newer routing that it lacks. */
     Duration behindFor(TimePoint now) const;
@@ -75,7 +86,9 @@
     GatewayContext& m_context;
     const PeerView& m_peers;
     std::string m_dataCentre;
-    StateFetchPolicy m_policy;
+    StateFetchPlan m_plan { StateFetchPolicy {} };
+    std::map<std::string, UpstreamConnection*> m_connections; /**< Of the running fetches of a routing, by the peer's address. */
+    bool m_isReadingSource = false;
     std::function<void(const std::string&)> m_applyState;
     SourcePosition m_directoryPosition;
     TimePoint m_directoryPositionChangedAt {};
--- a/libs/gateway/src/StateFetcher.cpp
+++ b/libs/gateway/src/StateFetcher.cpp
@@ -58,18 +58,42 @@
 {
     m_applyState = std::move(applyState);
     while (!m_isStopping) {
-        co_await sleepFor(m_context.executor, m_policy.retryInterval);
-        const auto target = chooseTarget();
-        if (target)
-            co_await fetchFrom(*target);
-        const bool shouldReadSource = isRoutingOutdated() && m_policy.shouldReadSource(behindFor(monotonicNow()));
-        if (!shouldReadSource || !m_context.confirmRouting)
-            continue;
-        count(&CatchUp::sourceReads);
-        co_await m_context.confirmRouting();
+        co_await sleepFor(m_context.executor, m_plan.policy().retryInterval);
+        if (auto target = chooseTarget())
+            startFetch(std::move(*target));
+        if (isRoutingOutdated() && m_plan.policy().shouldReadSource(behindFor(monotonicNow())))
+            startSourceRead();
     }
 }
 
+void StateFetcher::startFetch(Target target)
+{
+    const auto address = target.address;
+    startTask(m_context.executor, fetch(std::move(target)), [this, address](const std::string& reason) {
+        m_connections.erase(address);
+        m_plan.onEnd(address, true, monotonicNow());
+        m_context.log.write(events::taskFailed, { { "task", "fetch" }, { "reason", reason } });
+    });
+}
+
+void StateFetcher::startSourceRead()
+{
+    if (m_isReadingSource || !m_context.confirmRouting)
+        return;
+    m_isReadingSource = true;
+    count(&CatchUp::sourceReads);
+    startTask(m_context.executor, readSource(), [this](const std::string& reason) {
+        m_isReadingSource = false;
+        m_context.log.write(events::taskFailed, { { "task", "source" }, { "reason", reason } });
+    });
+}
+
+Task<void> StateFetcher::readSource()
+{
+    co_await m_context.confirmRouting();
+    m_isReadingSource = false;
+}
+
 void StateFetcher::count(int CatchUp::*counter)
 {
     if (m_catchUp)
@@ -84,44 +108,87 @@
     updateCatchUp(holders, now);
     if (!holders.empty()) {
         // A node without any routing can't wait for a peer in its data centre.
-        const auto waited = m_context.routing ? behindFor(now) : m_policy.ownDataCentreOnly;
-        const auto address = m_policy.choosePeer(holders, waited, m_random);
+        const auto waited = m_context.routing ? behindFor(now) : m_plan.policy().ownDataCentreOnly;
+        const auto address = m_plan.start(holders, waited, now, m_random);
         return address ? std::optional<Target>({ *address, m_context.directory.entries().empty() }) : std::nullopt;
     }
+    abortNeedlessFetches();
     std::string address;
-    if (now - m_directoryPositionChangedAt > directoryStaleAfter && m_peers.newestDirectoryPeer(m_directoryPosition, address))
-        return Target { address, true };
-    return std::nullopt;
+    const bool isStuck = now - m_directoryPositionChangedAt > directoryStaleAfter && !m_plan.isFetching();
+    if (!isStuck || !m_peers.newestDirectoryPeer(m_directoryPosition, address))
+        return std::nullopt;
+    const auto chosen = m_plan.start({ { address, true } }, m_plan.policy().ownDataCentreOnly, now, m_random);
+    return chosen ? std::optional<Target>({ *chosen, true }) : std::nullopt;
 }
 
-Task<void> StateFetcher::fetchFrom(const Target& target)
+void StateFetcher::abortNeedlessFetches()
+{
+    for (const auto& [address, connection] : m_connections)
+        connection->abort();
+}
+
+Task<void> StateFetcher::fetch(Target target)
+{
+    count(&CatchUp::fetches);
+    const auto state = co_await request(target);
+    m_connections.erase(target.address);
+    const bool isRefused = !state && state.error().code == ErrorCode::Conflict;
+    const bool isNeedless = !state && state.error().code == ErrorCode::Cancelled;
+    m_plan.onEnd(target.address, !state && !isRefused && !isNeedless, monotonicNow());
+    if (state) {
+        m_context.metrics.countIncident("state-fetched");
+        m_context.log.write(events::stateFetched, { { "from", target.address }, { "bytes", state->size() } });
+        m_applyState(*state);
+        co_return;
+    }
+    if (isRefused) {
+        count(&CatchUp::refusedFetches);
+        m_context.metrics.countIncident("state-fetch-refused");
+        co_return;
+    }
+    if (isNeedless)
+        co_return;
+    count(&CatchUp::failedFetches);
+    m_context.log.write(events::dependencyLost, { { "dependency", "peer " + target.address }, { "reason", state.error().message } });
+}
+
+Task<Result<std::string>> StateFetcher::request(const Target& target)
 {
     const auto endpoint = parseEndpoint(target.address);
     if (!endpoint)
-        co_return;
+        co_return tl::unexpected(endpoint.error());
+    const auto deadline = monotonicNow() + m_plan.policy().timeout;
+    auto acquired = co_await m_context.connectionPool.acquire(*endpoint, deadline);
+    if (!acquired)
+        co_return tl::unexpected(acquired.error());
+    auto& connection = *acquired->connection;
+    if (!target.needsDirectory)
+        m_connections[target.address] = &connection;
     OutgoingRequest request;
     HttpFields fields;
     fields.set("Host", target.address);
     request.head = formatRequestHead("GET", target.needsDirectory ? statePath : routingStatePath, fields, 0);
     request.body = std::make_shared<const std::string>();
-    count(&CatchUp::fetches);
-    const auto response
-        = co_await m_context.connectionPool.call(*endpoint, std::move(request), monotonicNow() + m_policy.timeout, maxStateBytes);
-    if (response && response->head.status == httpstatus::serviceUnavailable) {
-        count(&CatchUp::refusedFetches);
-        m_context.metrics.countIncident("state-fetch-refused"); // The peer serves enough copies; another one is chosen next.
-        co_return;
-    }
-    if (!response || response->head.status != httpstatus::ok) {
-        count(&CatchUp::failedFetches);
-        m_context.log.write(events::dependencyLost,
-            { { "dependency", "peer " + target.address },
-                { "reason", response ? "status " + std::to_string(response->head.status) : response.error().message } });
-        co_return;
+    const auto head = co_await connection.exchange(std::move(request), deadline);
+    if (!head)
+        co_return tl::unexpected(head.error());
+    std::string state;
+    for (bool isComplete = false; !isComplete;) {
+        m_plan.onProgress(target.address, monotonicNow());
+        const auto more = co_await connection.readSome(state, deadline);
+        if (!more)
+            co_return tl::unexpected(more.error());
+        if (state.size() > maxStateBytes)
+            co_return fail(ErrorCode::Protocol, "the state is too large");
+        isComplete = !*more;
     }
-    m_context.metrics.countIncident("state-fetched");
-    m_context.log.write(events::stateFetched, { { "from", target.address }, { "bytes", response->body.size() } });
-    m_applyState(response->body);
+    m_connections.erase(target.address);
+    m_context.connectionPool.release(std::move(acquired->connection));
+    if (head->status == httpstatus::serviceUnavailable)
+        co_return fail(ErrorCode::Conflict, "the peer serves enough copies");
+    if (head->status != httpstatus::ok)
+        co_return fail(ErrorCode::Protocol, "status " + std::to_string(head->status));
+    co_return state;
 }
 
 } // namespace bronzeswitch
--- a/libs/gateway/tests/StateFetchTests.cpp
+++ b/libs/gateway/tests/StateFetchTests.cpp
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 #include <gateway/PeerView.h>
 #include <gateway/SourceReadPolicy.h>
-#include <gateway/StateFetchPolicy.h>
+#include <gateway/StateFetchPlan.h>
 
 using namespace bronzeswitch;
 
@@ -11,31 +11,47 @@
 const TimePoint start = TimePoint() + std::chrono::hours(1);
 
 constexpr Duration step { 10 };
-constexpr double weakLinkBytesPerMs = 2500; // 20 Mbit/s.
-constexpr double strongLinkBytesPerMs = 25000;
+constexpr double bytesPerMsOfMbit = 125;
+constexpr double strongLinkBytesPerMs = 200 * bytesPerMsOfMbit;
 constexpr int strongNodesPerDataCentre = 3;
 
+struct Fleet {
+    int nodes = 0;
+    int dataCentres = 0;
+    double weakLinkMbit = 20;
+};
+
 // Plays how a routing spreads over the nodes from those that watch its source, with a driven clock. Transfers share the sender's link.
 class RoutingSpread {
 public:
-    RoutingSpread(int nodes, int dataCentres, double bytes, StateFetchPolicy policy)
-        : m_dataCentres(dataCentres)
+    RoutingSpread(const Fleet& fleet, double bytes, const StateFetchPolicy& policy, unsigned seed = 1)
+        : m_fleet(fleet)
         , m_bytes(bytes)
         , m_policy(policy)
-        , m_nodes(static_cast<std::size_t>(nodes))
+        , m_random(seed)
     {
         const SourceReadPolicy readPolicy;
-        for (int index = 0; index < nodes; ++index) {
-            const bool isWatcher = readPolicy.shouldWatchRouting(index, index / dataCentres, Duration(0));
-            m_nodes[static_cast<std::size_t>(index)].hasRouting = isWatcher;
+        for (int index = 0; index < fleet.nodes; ++index) {
+            const bool isWatcher = readPolicy.shouldWatchRouting(index, index / fleet.dataCentres, Duration(0));
+            m_nodes.emplace_back(policy);
+            m_nodes.back().hasRouting = isWatcher;
         }
     }
 
-    // Returns the time until all nodes have the routing, or the limit.
+    // From a moment on, some nodes neither send nor receive, though the others still count them as live.
+    void freeze(double share, Duration at)
+    {
+        m_frozenShare = share;
+        m_freezeAt = at;
+    }
+
+    // Returns the time until all nodes that are not frozen have the routing, or the limit.
     Duration timeUntilInForce(Duration limit)
     {
         Duration now { 0 };
         while (now < limit && !isInForce()) {
+            if (now == m_freezeAt)
+                freezeNodes();
             transfer(now);
             startTransfers(now);
             now += step;
@@ -44,42 +60,67 @@
     }
 
 private:
-    struct Node {
-        bool hasRouting = false;
+    struct Transfer {
         std::size_t source = 0;
-        bool isFetching = false;
         double missingBytes = 0;
-        Duration fetchStart { 0 };
+        Duration start { 0 };
+    };
+    struct Node {
+        explicit Node(const StateFetchPolicy& policy)
+            : plan(policy)
+        {
+        }
+        StateFetchPlan plan;
+        std::vector<Transfer> transfers;
+        bool hasRouting = false;
+        bool isFrozen = false;
         Duration nextAttempt { 0 };
         int sending = 0;
     };
 
     bool isInForce() const
     {
-        return std::all_of(m_nodes.begin(), m_nodes.end(), [](const Node& node) { return node.hasRouting; });
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [](const Node& node) { return node.hasRouting || node.isFrozen; });
     }
 
     double linkOf(std::size_t index) const
     {
-        const bool isStrong = static_cast<int>(index) < strongNodesPerDataCentre * m_dataCentres;
-        return isStrong ? strongLinkBytesPerMs : weakLinkBytesPerMs;
+        const bool isStrong = static_cast<int>(index) < strongNodesPerDataCentre * m_fleet.dataCentres;
+        return isStrong ? strongLinkBytesPerMs : m_fleet.weakLinkMbit * bytesPerMsOfMbit;
+    }
+
+    void freezeNodes()
+    {
+        std::bernoulli_distribution isChosen(m_frozenShare);
+        for (auto& node : m_nodes)
+            node.isFrozen = isChosen(m_random);
     }
 
     void transfer(Duration now)
     {
         for (auto& node : m_nodes) {
-            if (!node.isFetching)
-                continue;
-            auto& source = m_nodes[node.source];
-            node.missingBytes -= static_cast<double>(step.count()) * linkOf(node.source) / std::max(1, source.sending);
-            const bool isTimedOut = now - node.fetchStart >= m_policy.timeout;
-            if (node.missingBytes > 0 && !isTimedOut)
-                continue;
-            node.hasRouting = node.missingBytes <= 0;
-            node.isFetching = false;
-            node.nextAttempt = now + m_policy.retryInterval;
-            --source.sending;
+            if (!node.isFrozen)
+                std::erase_if(node.transfers, [&](Transfer& transfer) { return hasEnded(node, transfer, now); });
+        }
+    }
+
+    bool hasEnded(Node& node, Transfer& transfer, Duration now)
+    {
+        auto& source = m_nodes[transfer.source];
+        const auto address = std::to_string(transfer.source);
+        if (!source.isFrozen) {
+            transfer.missingBytes -= static_cast<double>(step.count()) * linkOf(transfer.source) / std::max(1, source.sending);
+            node.plan.onProgress(address, start + now);
         }
+        const bool isTimedOut = now - transfer.start >= m_policy.timeout;
+        if (transfer.missingBytes > 0 && !isTimedOut && !node.hasRouting)
+            return false;
+        const bool isWhole = transfer.missingBytes <= 0;
+        node.plan.onEnd(address, isTimedOut && !isWhole, start + now);
+        node.hasRouting = node.hasRouting || isWhole;
+        node.nextAttempt = now + m_policy.retryInterval;
+        --source.sending;
+        return true;
     }
 
     void startTransfers(Duration now)
@@ -91,7 +132,7 @@
         }
         for (std::size_t index = 0; index < m_nodes.size(); ++index) {
             auto& node = m_nodes[index];
-            if (!node.hasRouting && !node.isFetching && now >= node.nextAttempt)
+            if (!node.hasRouting && !node.isFrozen && now >= node.nextAttempt)
                 attempt(index, holders, now);
         }
     }
@@ -101,28 +142,29 @@
         auto& node = m_nodes[index];
         std::vector<StateHolder> candidates;
         for (const auto holder : holders) {
-            const bool isNear = static_cast<int>(holder) % m_dataCentres == static_cast<int>(index) % m_dataCentres;
+            const bool isNear = static_cast<int>(holder) % m_fleet.dataCentres == static_cast<int>(index) % m_fleet.dataCentres;
             candidates.push_back({ std::to_string(holder), isNear });
         }
         node.nextAttempt = now + m_policy.retryInterval;
-        const auto chosen = m_policy.choosePeer(candidates, now, m_random);
+        const auto chosen = node.plan.start(candidates, now, start + now, m_random);
         if (!chosen)
             return;
         const auto source = static_cast<std::size_t>(std::stoi(*chosen));
-        if (m_nodes[source].sending >= m_policy.responseLimit.maxConcurrent)
+        if (m_nodes[source].sending >= m_policy.responseLimit.maxConcurrent && !m_nodes[source].isFrozen) {
+            node.plan.onEnd(*chosen, false, start + now);
             return;
+        }
         ++m_nodes[source].sending;
-        node.source = source;
-        node.isFetching = true;
-        node.missingBytes = m_bytes;
-        node.fetchStart = now;
+        node.transfers.push_back({ source, m_bytes, now });
     }
 
-    int m_dataCentres;
+    Fleet m_fleet;
     double m_bytes;
     StateFetchPolicy m_policy;
     std::vector<Node> m_nodes;
-    std::minstd_rand m_random { 1 };
+    std::minstd_rand m_random;
+    double m_frozenShare = 0;
+    Duration m_freezeAt { -1 };
 };
 
 NodeReport reportWith(int64_t routingVersion, const std::string& dataCentre)
@@ -140,9 +182,9 @@
 {
     constexpr Duration half { 2000 };
     constexpr double bytes = 400000;
-    CHECK(RoutingSpread(69, 3, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
-    CHECK(RoutingSpread(195, 5, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
-    CHECK(RoutingSpread(430, 14, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
+    CHECK(RoutingSpread({ 69, 3 }, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
+    CHECK(RoutingSpread({ 195, 5 }, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
+    CHECK(RoutingSpread({ 430, 14 }, bytes, {}).timeUntilInForce(Duration(20000)) <= half);
 }
 
 TEST_CASE("without a limit on concurrent copies, fetches of a large routing share slow links until they time out")
@@ -151,8 +193,8 @@
     constexpr double bytes = 1000000;
     StateFetchPolicy unlimited;
     unlimited.responseLimit.maxConcurrent = 1000;
-    const auto limitedTime = RoutingSpread(195, 5, bytes, {}).timeUntilInForce(Duration(20000));
-    const auto unlimitedTime = RoutingSpread(195, 5, bytes, unlimited).timeUntilInForce(Duration(20000));
+    const auto limitedTime = RoutingSpread({ 195, 5 }, bytes, {}).timeUntilInForce(Duration(20000));
+    const auto unlimitedTime = RoutingSpread({ 195, 5 }, bytes, unlimited).timeUntilInForce(Duration(20000));
     CHECK(limitedTime <= bound);
     CHECK(unlimitedTime > limitedTime);
 }
