--- a/libs/net/include/net/HttpConnectionPool.h
+++ b/libs/net/include/net/HttpConnectionPool.h
@@ -16,6 +16,16 @@
     bool operator==(const ConnectionLimits&) const = default;
 };
 
+/** How long a call may take, and how much it may return. */
+struct CallLimits {
+    TimePoint responseDeadline; /**< For the head of the response. */
+    TimePoint deadline; /**< For the whole response. */
+    Duration stallTimeout; /**< Longest time between two parts of the body. */
+    std::size_t bodyBytes = 0;
+
+    bool operator==(const CallLimits&) const = default;
+};
+
 /** A connection that can carry a request. */
 struct AcquiredConnection {
     std::unique_ptr<UpstreamConnection> connection;
@@ -44,6 +54,9 @@
     /** Sends one request and reads the whole response. @param bodyLimit largest size of the body, in bytes. */
     Task<Result<FullHttpResponse>> call(asio::ip::tcp::endpoint, OutgoingRequest, TimePoint deadline, std::size_t bodyLimit);
 
+    /** Does the same, with a time limit for the beginning of the response and one for its progress. */
+    Task<Result<FullHttpResponse>> call(asio::ip::tcp::endpoint, OutgoingRequest, CallLimits);
+
     /** Closes connections that have been idle for too long. */
     void closeExpired();
 
--- a/libs/net/src/HttpConnectionPool.cpp
+++ b/libs/net/src/HttpConnectionPool.cpp
@@ -52,17 +52,30 @@
 Task<Result<FullHttpResponse>> HttpConnectionPool::call(
     asio::ip::tcp::endpoint endpoint, OutgoingRequest request, TimePoint deadline, std::size_t bodyLimit)
 {
-    auto acquired = co_await acquire(endpoint, deadline);
+    const auto untilDeadline = std::chrono::ceil<Duration>(deadline - monotonicNow());
+    return call(std::move(endpoint), std::move(request), CallLimits { deadline, deadline, untilDeadline, bodyLimit });
+}
+
+Task<Result<FullHttpResponse>> HttpConnectionPool::call(asio::ip::tcp::endpoint endpoint, OutgoingRequest request, CallLimits limits)
+{
+    auto acquired = co_await acquire(endpoint, limits.responseDeadline);
     if (!acquired)
         co_return tl::unexpected(acquired.error());
-    auto head = co_await acquired->connection->exchange(std::move(request), deadline);
+    auto& connection = *acquired->connection;
+    auto head = co_await connection.exchange(std::move(request), limits.responseDeadline);
     if (!head)
         co_return tl::unexpected(head.error());
-    auto body = co_await acquired->connection->readBody(deadline, bodyLimit);
-    if (!body)
-        co_return tl::unexpected(body.error());
+    std::string body;
+    for (bool isComplete = false; !isComplete;) {
+        const auto more = co_await connection.readSome(body, std::min(limits.deadline, monotonicNow() + limits.stallTimeout));
+        if (!more)
+            co_return tl::unexpected(more.error());
+        if (body.size() > limits.bodyBytes)
+            co_return fail(ErrorCode::Protocol, "response body too large");
+        isComplete = !*more;
+    }
     release(std::move(acquired->connection));
-    co_return FullHttpResponse { std::move(*head), std::move(*body) };
+    co_return FullHttpResponse { std::move(*head), std::move(body) };
 }
 
 void HttpConnectionPool::closeExpired()
