Let a node pass the connection of another node on to a server

Needed for nodes that have lost the path to the upstreams. A node asks another one by CONNECT at the port for peers; that one opens the connection and moves bytes. The end of the server's connection is passed on as it was: a mark that the asking node has chosen follows the last byte only after an orderly end, and a reset stays a reset. So a response that ends with its connection is never taken for whole because the node between has ended. Nothing uses it yet.

--- a/libs/net/include/net/CallerConnection.h
+++ b/libs/net/include/net/CallerConnection.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace bronzeswitch {
 
@@ -43,6 +44,9 @@
     /** Ends the reading of a request, if there is one, with ReadError::GivenUp. It may be called by the MemoryObserver. */
     void giveUpReading();
 
+    /** Reads what has arrived behind a request, or waits for it without a time limit. @return nothing at the end of the connection. */
+    Task<std::optional<std::string>> readBytes();
+
     /** Writes bytes. @return false when the caller has disconnected or does not read in time. */
     Task<bool> write(std::string_view, TimePoint deadline);
 
--- a/libs/net/include/net/HttpConnectionPool.h
+++ b/libs/net/include/net/HttpConnectionPool.h
@@ -48,6 +48,18 @@
      */
     Task<Result<AcquiredConnection>> acquire(asio::ip::tcp::endpoint, TimePoint deadline);
 
+    /** Takes an idle connection. @return null if there is none. */
+    std::unique_ptr<UpstreamConnection> takeIdle(const asio::ip::tcp::endpoint&);
+
+    /** Opens a connection. @return it, or Unavailable or Timeout; nothing was sent then. */
+    Task<Result<AcquiredConnection>> open(asio::ip::tcp::endpoint, TimePoint deadline);
+
+    /** @return the time after which an attempt to open a connection is given up. */
+    Duration connectTimeout() const { return m_limits.connectTimeout; }
+
+    /** Closes the idle connections to a server. */
+    void closeIdle(const asio::ip::tcp::endpoint& server) { m_idle.erase(server); }
+
     /** Returns a connection to the pool. One that can't be reused is closed. */
     void release(std::unique_ptr<UpstreamConnection>);
 
--- a/libs/net/include/net/SimpleHttpServer.h
+++ b/libs/net/include/net/SimpleHttpServer.h
@@ -37,6 +37,12 @@
     /** Limits large responses, so that many requests at once don't share a slow link until all of them time out. */
     void limitLargeResponses(const ResponseLimit& limit) { m_largeResponseLimit = limit; }
 
+    /** Takes over a connection that asks to be passed on (CONNECT), until the task ends. */
+    using PassOnHandler = std::function<Task<void>(std::shared_ptr<CallerConnection>, const FullHttpRequest&)>;
+
+    /** Sets the handler of connections that ask to be passed on; without one, they are handled like other requests. */
+    void setPassOnHandler(PassOnHandler handler) { m_passOn = std::move(handler); }
+
     asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
 
 private:
@@ -52,6 +58,7 @@
     ConnectionSet m_connections;
     LimitObserver m_onLimitReached;
     std::function<void(const std::string&)> m_onFailure;
+    PassOnHandler m_passOn;
     std::optional<ResponseLimit> m_largeResponseLimit;
     int m_largeResponses = 0; /**< Being sent. */
 };
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -34,6 +34,15 @@
     /** Opens a connection. @return the connection, or Timeout or Unavailable; nothing was sent then. */
     static Task<Result<std::unique_ptr<UpstreamConnection>>> connect(Executor, asio::ip::tcp::endpoint, TimePoint deadline);
 
+    /**
+     * Opens a connection to a server by way of a node that reaches it. It can carry one request.
+     * @param target names the server to the node.
+     * @return the connection; Conflict if the node does not pass connections on now, NotFound if it does not reach the server either, or an
+     *     error of the connection to the node. Nothing was sent to the server then.
+     */
+    static Task<Result<std::unique_ptr<UpstreamConnection>>> connectThrough(
+        Executor, asio::ip::tcp::endpoint node, std::string target, TimePoint deadline);
+
     ~UpstreamConnection();
     UpstreamConnection(const UpstreamConnection&) = delete;
     UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -75,6 +84,12 @@
     /** @return the idle timeout that the server announced, 0 if it announced none. */
     Duration idleTimeout() const { return m_idleTimeout; }
 
+    /** @return true if another node passes the connection on. */
+    bool isPassedOn() const { return !m_endMark.empty(); }
+
+    /** @return when bytes last arrived, or the connection was opened. */
+    TimePoint lastProgress() const { return m_lastProgress; }
+
     const asio::ip::tcp::endpoint& endpoint() const { return m_endpoint; }
 
     /** @return when the last response ended. */
@@ -103,6 +118,12 @@
     void resetParser();
     void updateIdleTimeout(const ResponseHead&);
 
+    /** Keeps as many of the last bytes of a body as the mark has. @param start where the part that was just read begins. */
+    void holdBackEnd(std::string& body, std::size_t start);
+
+    /** Removes the mark behind a body that ends with the connection. @return false if it is missing, so that the body is incomplete. */
+    bool removeEndMark(std::string& body, std::size_t start);
+
     std::shared_ptr<TcpStream> m_stream; /**< Shared with a pending write, which may outlive this object. */
     asio::ip::tcp::endpoint m_endpoint;
     boost::beast::flat_buffer m_buffer;
@@ -113,6 +134,9 @@
     bool m_isAborted = false;
     Duration m_idleTimeout { 0 };
     TimePoint m_lastUsed {};
+    TimePoint m_lastProgress {};
+    std::string m_endMark; /**< The node that passes the connection on writes it behind the last byte if the server has ended it orderly. */
+    std::string m_heldBack; /**< The last bytes of a body that ends with the connection; they may be the mark. */
 };
 
 } // namespace bronzeswitch
--- a/libs/net/src/CallerConnection.cpp
+++ b/libs/net/src/CallerConnection.cpp
@@ -109,6 +109,20 @@
     co_return tl::expected<void, ReadError> {};
 }
 
+Task<std::optional<std::string>> CallerConnection::readBytes()
+{
+    if (m_buffer.size() == 0) {
+        m_stream.expires_never();
+        const auto [error, size] = co_await m_stream.async_read_some(m_buffer.prepare(readBlockBytes), awaitResult);
+        if (error)
+            co_return std::nullopt;
+        m_buffer.commit(size);
+    }
+    std::string bytes(buffered());
+    m_buffer.consume(m_buffer.size());
+    co_return bytes;
+}
+
 void CallerConnection::giveUpReading()
 {
     if (m_state != State::Reading)
--- a/libs/net/src/HttpConnectionPool.cpp
+++ b/libs/net/src/HttpConnectionPool.cpp
@@ -23,15 +23,27 @@
     return monotonicNow() - connection.lastUsed() < maxIdleTime && connection.isOpenAndIdle();
 }
 
-Task<Result<AcquiredConnection>> HttpConnectionPool::acquire(asio::ip::tcp::endpoint endpoint, TimePoint deadline)
+std::unique_ptr<UpstreamConnection> HttpConnectionPool::takeIdle(const asio::ip::tcp::endpoint& endpoint)
 {
     auto& idle = m_idle[endpoint];
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
         if (isFresh(*connection))
-            co_return AcquiredConnection { std::move(connection), false };
+            return connection;
     }
+    return nullptr;
+}
+
+Task<Result<AcquiredConnection>> HttpConnectionPool::acquire(asio::ip::tcp::endpoint endpoint, TimePoint deadline)
+{
+    if (auto connection = takeIdle(endpoint))
+        co_return AcquiredConnection { std::move(connection), false };
+    co_return co_await open(std::move(endpoint), deadline);
+}
+
+Task<Result<AcquiredConnection>> HttpConnectionPool::open(asio::ip::tcp::endpoint endpoint, TimePoint deadline)
+{
     ++m_opened;
     const auto connectDeadline = std::min(deadline, monotonicNow() + m_limits.connectTimeout);
     auto connection = co_await UpstreamConnection::connect(m_executor, endpoint, connectDeadline);
--- a/libs/net/src/SimpleHttpServer.cpp
+++ b/libs/net/src/SimpleHttpServer.cpp
@@ -70,6 +70,10 @@
                 onLimitReached("request");
             break;
         }
+        if (m_passOn && request->method() == boost::beast::http::verb::connect) {
+            co_await m_passOn(connection, *request);
+            break;
+        }
         const bool isClosing = !request->keep_alive();
         isOpen = co_await sendResponse(*connection, m_handler(*request), isClosing) && !isClosing;
     }
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -1,11 +1,13 @@
 #include "SocketOptions.h"
 
 #include <array>
+#include <base/Hash.h>
 #include <base/HttpStatus.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <charconv>
+#include <net/PassOn.h>
 #include <net/UpstreamConnection.h>
 
 namespace bronzeswitch {
@@ -54,9 +56,32 @@
     if (error)
         co_return tl::unexpected(connection->toError(error));
     configureSocket(connection->m_stream->socket());
+    connection->m_lastProgress = monotonicNow();
     co_return connection;
 }
 
+Task<Result<std::unique_ptr<UpstreamConnection>>> UpstreamConnection::connectThrough(
+    Executor executor, asio::ip::tcp::endpoint node, std::string target, TimePoint deadline)
+{
+    auto connected = co_await connect(executor, node, deadline);
+    if (!connected)
+        co_return connected;
+    auto& connection = **connected;
+    connection.m_endMark = randomId();
+    HttpFields fields;
+    fields.set("Host", node.address().to_string());
+    fields.set(passOnMarkField, connection.m_endMark);
+    const OutgoingRequest request { formatRequestHead("CONNECT", target, fields, 0), std::make_shared<const std::string>(), false };
+    auto head = co_await connection.exchange(request, deadline);
+    if (!head)
+        co_return tl::unexpected(head.error());
+    if (head->status == httpstatus::serviceUnavailable)
+        co_return fail(ErrorCode::Conflict, "the node does not pass connections on");
+    if (head->status != httpstatus::ok)
+        co_return fail(ErrorCode::NotFound, "no answer in time or refused, also from another node");
+    co_return connected;
+}
+
 Error UpstreamConnection::toError(const boost::system::error_code& error) const
 {
     if (m_isAborted)
@@ -104,6 +129,7 @@
         const auto [error, size] = co_await http::async_read_header(*m_stream, m_buffer, *m_parser, awaitResult);
         if (error)
             co_return tl::unexpected(toError(error));
+        m_lastProgress = monotonicNow();
         const auto& message = m_parser->get();
         const auto status = static_cast<int>(message.result_int());
         if (isInterim(status))
@@ -128,6 +154,8 @@
 {
     std::array<char, readBlockBytes> block; // NOLINT: filled by the read.
     m_stream->expires_at(deadline);
+    const bool mayEndWithMark = isPassedOn() && endsWithConnection();
+    const auto before = body.size();
     while (!m_parser->is_done()) {
         m_parser->get().body().data = block.data();
         m_parser->get().body().size = block.size();
@@ -135,11 +163,18 @@
         auto [error, size] = co_await http::async_read_some(*m_stream, m_buffer, *m_parser, awaitResult);
         const auto filled = block.size() - m_parser->get().body().size;
         body.append(block.data(), filled);
+        if (filled)
+            m_lastProgress = monotonicNow();
         if (error && error != http::error::need_buffer)
             co_return tl::unexpected(toError(error));
-        if (filled && !m_parser->is_done())
+        if (filled && !m_parser->is_done()) {
+            if (mayEndWithMark)
+                holdBackEnd(body, before);
             co_return true;
+        }
     }
+    if (mayEndWithMark && !removeEndMark(body, before))
+        co_return tl::unexpected(toError(asio::error::connection_reset));
     if (endsWithConnection() && co_await wasReset())
         co_return tl::unexpected(toError(asio::error::connection_reset));
     m_isComplete = true;
@@ -147,6 +182,20 @@
     co_return false;
 }
 
+void UpstreamConnection::holdBackEnd(std::string& body, std::size_t start)
+{
+    body.insert(start, std::exchange(m_heldBack, {}));
+    const auto size = std::min(m_endMark.size(), body.size() - start);
+    m_heldBack = body.substr(body.size() - size);
+    body.resize(body.size() - size);
+}
+
+bool UpstreamConnection::removeEndMark(std::string& body, std::size_t start)
+{
+    holdBackEnd(body, start);
+    return std::exchange(m_heldBack, {}) == m_endMark;
+}
+
 // A socket reports the reset of its connection once. If a write is pending, it gets the error, and a read sees an orderly end.
 Task<bool> UpstreamConnection::wasReset()
 {
@@ -184,7 +233,7 @@
 bool UpstreamConnection::isReusable() const
 {
     const bool isWritten = m_write && m_write->ended.isSet() && !m_write->isFailed;
-    return isWritten && m_isComplete && !m_isAborted && m_buffer.size() == 0 && m_parser && m_parser->keep_alive();
+    return isWritten && !isPassedOn() && m_isComplete && !m_isAborted && m_buffer.size() == 0 && m_parser && m_parser->keep_alive();
 }
 
 bool UpstreamConnection::isOpenAndIdle()
