Reach upstreams by way of another node where the own path is lost

Cause: a node had no way but its own, and took the loss of its path for a failure of the upstreams. Each connect took a second, at up to five upstreams, and held a slot of the pool meanwhile; requests on connections that had gone silent held theirs for their whole timeout. The failures were added up over all nodes, so that sound upstreams were suspected everywhere and their limits shrank.

A connection that is not open within 250 ms is opened by another node that reaches the upstream, first one in the own data centre. Nothing has been sent until then, so a request still runs at most once; limits, deadlines, retries and what a response states stay with the node that took the request, and a pause that an upstream asks for is also sent to the node that passed the connection on. That node refuses upstreams that leave, or that have asked it for a pause, and does not pass on what it can only reach by others. That another node reaches the upstream proves that the path is lost: the end of such a dispatch says nothing about the upstream, neither to the pool nor to peers, a roll-out's trial or the quarantine of prompts. A node that is cut off altogether ends dispatches that have been silent for 500 ms, tests its own path every 500 ms, and if no other node has one, refuses after two tries.

--- a/libs/base/include/base/EventLog.h
+++ b/libs/base/include/base/EventLog.h
@@ -58,6 +58,9 @@
     "An upstream's removal was read soon after the source had been out of contact, and is carried out later." };
 inline constexpr Event routingOutdated { 230, "routing-outdated", EventLevel::Info,
     "A peer has a newer version of the routing than this node." };
+inline constexpr Event pathsLost { 231, "paths-lost", EventLevel::Warning,
+    "This node has lost the path to the upstreams; other nodes pass its requests on." };
+inline constexpr Event pathsRegained { 232, "paths-regained", EventLevel::Info, "This node reaches upstreams over its own path again." };
 inline constexpr Event membersChanged { 300, "members-changed", EventLevel::Info, "The set of live, ready nodes has changed." };
 inline constexpr Event delegateChanged { 301, "delegate-changed", EventLevel::Info,
     "This node begins or ceases to exchange reports with the nodes of all data centres." };
--- a/libs/base/src/EventLog.cpp
+++ b/libs/base/src/EventLog.cpp
@@ -27,15 +27,15 @@
     events::settingsReloaded, events::taskFailed, events::configInForce, events::configInvalid, events::logUnreachable,
     events::logReachable, events::stateFromPeer, events::snapshotConfirmed, events::snapshotFailed, events::routingInForce,
     events::routingInvalid, events::recordSkipped, events::upstreamsChanged, events::dependencyLost, events::dependencyRegained,
-    events::stateFetched, events::sourceRestored, events::routingRead, events::removalDelayed, events::routingOutdated,
-    events::membersChanged, events::delegateChanged, events::fleetCounted, events::nodesExpired, events::homeTaken, events::homeLeft,
-    events::upstreamsSuspected, events::upstreamNotice, events::upstreamCold, events::upstreamWarm, events::coldStartShareChanged,
-    events::promptsQuarantined, events::evacuationBegan, events::evacuationEnded, events::limitReached, events::overloadBegan,
-    events::overloadEnded, events::capacityLearned, events::upstreamUnreachable, events::answerDropped, events::streamResumed,
-    events::outcomeUnclear, events::rolloutStep, events::rolloutAlarm, events::rolloutTakenBack, events::rolloutFinished,
-    events::rolloutRecorded, events::orderAccepted, events::orderRefused, events::requestDispatched, events::requestAnswered,
-    events::requestRefused, events::requestFailed, events::requestRejected, events::dispatchUnsuccessful, events::callerLeft,
-    events::bodyGivenUp };
+    events::stateFetched, events::sourceRestored, events::routingRead, events::removalDelayed, events::routingOutdated, events::pathsLost,
+    events::pathsRegained, events::membersChanged, events::delegateChanged, events::fleetCounted, events::nodesExpired, events::homeTaken,
+    events::homeLeft, events::upstreamsSuspected, events::upstreamNotice, events::upstreamCold, events::upstreamWarm,
+    events::coldStartShareChanged, events::promptsQuarantined, events::evacuationBegan, events::evacuationEnded, events::limitReached,
+    events::overloadBegan, events::overloadEnded, events::capacityLearned, events::upstreamUnreachable, events::answerDropped,
+    events::streamResumed, events::outcomeUnclear, events::rolloutStep, events::rolloutAlarm, events::rolloutTakenBack,
+    events::rolloutFinished, events::rolloutRecorded, events::orderAccepted, events::orderRefused, events::requestDispatched,
+    events::requestAnswered, events::requestRefused, events::requestFailed, events::requestRejected, events::dispatchUnsuccessful,
+    events::callerLeft, events::bodyGivenUp };
 
 log4cplus::Logger& logger()
 {
--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -27,6 +27,7 @@
 namespace bronzeswitch {
 
 class RequestTask;
+class UpstreamPaths;
 
 /** Estimates how long a caller waits for the next event of a stream, also for the first one, before it gives up. */
 struct StreamEventTimeout {
@@ -90,6 +91,9 @@
     /** Of the heads and bodies of callers' requests. Shared with the requests as well. */
     std::shared_ptr<RequestMemory> requestMemory = std::make_shared<RequestMemory>(RequestMemory::capacityFor(0));
     LimitLog limits { log, metrics };
+    UpstreamPaths* paths = nullptr; /**< Connects to upstreams. */
+    /** Sends a message to another node. */
+    std::function<void(const std::string& address, const Message&)> sendToNode {};
 
     RetryBudget& retryBudgetFor(const std::string& service) { return retryBudgets.try_emplace(service, bounds.retries).first->second; }
 };
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -6,6 +6,7 @@
 #include <gateway/NodeDiscovery.h>
 #include <gateway/PeerView.h>
 #include <gateway/StateFetcher.h>
+#include <gateway/UpstreamPaths.h>
 #include <net/DatagramSocket.h>
 #include <net/SimpleHttpServer.h>
 
@@ -139,6 +140,8 @@
     const UpstreamDirectory& directory() const { return m_context.directory; }
     Executor executor() { return m_context.executor; }
     const RoutingTablePointer& routing() const { return m_context.routing; }
+    const PeerView& peers() const { return m_peers; }
+
     asio::ip::tcp::endpoint callerEndpoint() const { return m_callerServer->endpoint(); }
 
     /** @return the address by which peers know this node, as "address:port". */
@@ -218,6 +221,7 @@
     PeerView m_peers;
     NodeDiscovery m_discovery;
     StateFetcher m_stateFetcher;
+    UpstreamPaths m_paths;
     StateCallbacks m_stateCallbacks;
     std::unique_ptr<CallerServer> m_callerServer;
     std::unique_ptr<SimpleHttpServer> m_readinessServer;
--- /dev/null
+++ b/libs/gateway/include/gateway/PathMonitor.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <base/TimerService.h>
+
+#include <map>
+#include <string>
+
+namespace bronzeswitch {
+
+/** Time spans by which a node judges its own paths to the upstreams. */
+struct PathPolicy {
+    Duration retestInterval { 1000 }; /**< After this time, a connection to an upstream without an own path is tried directly again. */
+    Duration evidenceTime { 2000 }; /**< A failure counts as evidence for this long. */
+    std::size_t minUpstreams = 3; /**< So many upstreams that fail at the same time show a lost path rather than failing upstreams. */
+    Duration burstTime { 200 }; /**< Connections to several upstreams that break off within this time were lost with the path. */
+
+    bool operator==(const PathPolicy&) const = default;
+};
+
+/**
+ * Judges whether a failure to reach an upstream is one of the upstream or of the path between it and this node.
+ *
+ * Load pattern: a node loses the path to all upstreams, or to some, for seconds, while other nodes and the upstreams are sound. New
+ * connections hang or are reset, open ones hang, break off or live on. If such failures were attributed to the upstreams, all nodes
+ * would avoid them. That another node reaches the upstream proves that the path is lost. Without such a proof, several upstreams that fail
+ * at the same time, while none is reached, show it.
+ *
+ *     if (monitor.shouldConnectDirectly(upstream, now))
+ *         monitor.onDirect(upstream, isConnected, now);
+ */
+class PathMonitor {
+public:
+    explicit PathMonitor(PathPolicy policy)
+        : m_policy(policy)
+    {
+    }
+
+    /** @return true if this node should try its own path to an upstream; of several calls, one tests a lost path again when that is due. */
+    bool shouldConnectDirectly(const std::string& upstream, TimePoint now);
+
+    /** Records the attempt to open a connection to an upstream over this node's own path. */
+    void onDirect(const std::string& upstream, bool isConnected, TimePoint now);
+
+    /** Records that another node has opened the connection that failed over this node's own path. */
+    void onReachedByOther(const std::string& upstream, TimePoint now);
+
+    /** Records that an open connection broke off. @return true if the path was lost rather than the upstream. */
+    bool onBroken(const std::string& upstream, TimePoint now);
+
+    /** @return true if this node has lost the path to an upstream. */
+    bool isLost(const std::string& upstream, TimePoint now) const;
+
+    /** @return true if this node has lost the path to the upstreams altogether. */
+    bool isCutOff(TimePoint now) const;
+
+private:
+    std::size_t countSince(const std::map<std::string, TimePoint>& events, TimePoint since) const;
+
+    PathPolicy m_policy;
+    std::map<std::string, TimePoint> m_retestAt; /**< Of upstreams without an own path: when it is tested again. */
+    std::map<std::string, TimePoint> m_failed; /**< Last failed attempt at a connection, by upstream. */
+    std::map<std::string, TimePoint> m_broken; /**< Last connection that broke off, by upstream. */
+    TimePoint m_lastConnected {}; /**< Over an own path. */
+    TimePoint m_nextTest {}; /**< While this node is cut off. */
+};
+
+} // namespace bronzeswitch
--- a/libs/gateway/include/gateway/PeerView.h
+++ b/libs/gateway/include/gateway/PeerView.h
@@ -115,6 +115,9 @@
      */
     std::vector<std::string> peersReachingSource(const std::string& dataCentre = {}) const;
 
+    /** @return the live peers that are ready, don't drain and have not lost the path to the upstreams. */
+    std::vector<std::string> peersWithPaths() const;
+
     /** @return the data centre that a peer has reported, empty if unknown. */
     std::string dataCentreOf(const std::string& address) const;
 
--- a/libs/gateway/src/Dispatch.cpp
+++ b/libs/gateway/src/Dispatch.cpp
@@ -10,7 +10,8 @@
 
 DispatchOutcome toDispatchOutcome(const Dispatch& dispatch, Dispatch::Outcome outcome)
 {
-    if (dispatch.isEvacuated)
+    const bool showsNothing = dispatch.isEvacuated || (dispatch.isPathLost && outcome != Dispatch::Outcome::Completed);
+    if (showsNothing)
         return DispatchOutcome::Cancelled;
     switch (outcome) {
     case Dispatch::Outcome::Completed:
@@ -45,6 +46,8 @@
 std::optional<VersionObservation> makeVersionObservation(
     const Dispatch& dispatch, Dispatch::Outcome outcome, bool isDeadlineOver, double betweenTokensMs, TimePoint now)
 {
+    if (dispatch.isPathLost && outcome != Dispatch::Outcome::Completed)
+        return std::nullopt;
     const bool hasUpstreamResponded = outcome == Dispatch::Outcome::Completed || outcome == Dispatch::Outcome::Failed;
     const bool wasWaitedFor = dispatch.wasSent && (outcome == Dispatch::Outcome::CallerDisconnected || isDeadlineOver);
     if (!hasUpstreamResponded && !wasWaitedFor)
@@ -66,6 +69,10 @@
     fields["waitedMs"] = dispatch.wasSent ? std::lround(toMilliseconds(dispatch.sentAt - arrivedAt)) : -1;
     if (hasFirstByte(dispatch))
         fields["firstByteMs"] = std::lround(toMilliseconds(dispatch.firstByteAt - dispatch.sentAt));
+    if (!dispatch.passedOnBy.empty())
+        fields["passedOnBy"] = dispatch.passedOnBy;
+    if (dispatch.isPathLost)
+        fields["pathLost"] = true;
     if (dispatch.eventCount)
         fields["events"] = dispatch.eventCount;
     if (dispatch.statesLeaving)
--- a/libs/gateway/src/Dispatch.h
+++ b/libs/gateway/src/Dispatch.h
@@ -42,6 +42,8 @@
     bool isReleased = false; /**< Its slot has been given back. */
     bool wasSent = false; /**< The request may have reached the upstream. */
     bool isEndedByNode = false; /**< Ended by this node for a reason of its own, so that it shows nothing about the upstream. */
+    std::string passedOnBy; /**< Address of the node that passes the connection on; empty for this node's own path. */
+    bool isPathLost = false; /**< This node has lost the path to the upstream, so that the end shows nothing about the upstream. */
     bool isLost = false; /**< The upstream broke the connection off. */
     std::string failure; /**< Why there is no usable response, for the decision log. */
 };
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -3,6 +3,7 @@
 #include <base/HttpStatus.h>
 #include <gateway/GatewayNode.h>
 #include <gateway/ResourceShares.h>
+#include <net/PassOn.h>
 #include <protocol/Messages.h>
 
 namespace bronzeswitch {
@@ -18,6 +19,7 @@
 constexpr std::size_t peersForNewNode = 64; // All of a data centre and the delegates, so that a new node soon knows them.
 constexpr Duration maintenanceInterval { 100 };
 constexpr Duration connectionSweepInterval { 1000 };
+constexpr Duration maxNoticedPause { 86400000 };
 constexpr const char* metricsPath = "/metrics";
 
 // Requests to the ports for peers and readiness: a line and a few fields without a body.
@@ -77,8 +79,11 @@
     , m_peers(PeerTimeouts {})
     , m_discovery(m_peers, m_log)
     , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
+    , m_paths(m_context, m_peers, m_options.dataCentre)
     , m_incarnation(unixMilliseconds())
 {
+    m_context.paths = &m_paths;
+    m_context.sendToNode = [this](const std::string& address, const Message& message) { send(address, message); };
     m_context.bodyMemory = std::make_shared<BodyMemory>(BodyMemory::capacityFor(m_options.memoryBytes));
     m_context.requestMemory = std::make_shared<RequestMemory>(RequestMemory::capacityFor(m_options.memoryBytes));
     addSeeds(m_options.seeds);
@@ -115,6 +120,9 @@
     m_readinessServer->limitRequests(serverLimits, shares.readiness, onLimit("readiness"));
     m_peerServer->limitRequests(serverLimits, shares.peers, onLimit("peer"));
     m_peerServer->limitLargeResponses(StateFetchPolicy {}.responseLimit);
+    m_peerServer->setPassOnHandler([this](std::shared_ptr<CallerConnection> connection, const FullHttpRequest& request) {
+        return m_paths.passOn(std::move(connection), std::string(request.target()), fieldValue(request.base(), passOnMarkField));
+    });
     const auto bound = m_peerServer->endpoint();
     auto datagrams = DatagramSocket::create(m_context.executor, { bound.address(), bound.port() });
     if (!datagrams)
@@ -381,6 +389,12 @@
         m_coldUpstreams.onPeerNotices(sender, update->notices, m_context.directory, monotonicNow());
         return;
     }
+    if (const auto* notice = std::get_if<PauseNotice>(&*message)) {
+        const auto* upstream = m_context.directory.find(notice->upstream);
+        if (upstream && upstream->startedAt == notice->startedAt)
+            m_context.pauses.onRefused(*upstream, std::clamp(Duration(notice->pauseMs), Duration(0), maxNoticedPause), monotonicNow());
+        return;
+    }
     const auto* report = std::get_if<NodeReport>(&*message);
     if (!report) {
         if (!m_quotas.onMessage(sender, *message) && !m_prompts.onMessage(sender, *message))
@@ -453,6 +467,7 @@
     report.isRegistrar = m_discovery.isRegistrar(monotonicNow());
     report.quarantines = m_prompts.entries();
     report.evacuations = m_context.evacuations.orders();
+    report.isCutOff = m_paths.isCutOff();
     if (m_isDelegate)
         report.notices = m_notices.entries(m_context.directory, monotonicNow());
     return report;
@@ -530,6 +545,7 @@
         m_coldUpstreams.tick(now);
         if (auto notices = m_coldUpstreams.takeAnnouncements(now); !notices.empty())
             broadcast(NoticeUpdate { std::move(notices) });
+        m_paths.tick();
         m_slots.tick();
         m_slots.visitPools([&](const std::string& name, const PoolScheduler& pool) {
             m_admissionMonitor.update(name, pool.admissionStatus(now), pool.waiting());
--- /dev/null
+++ b/libs/gateway/src/PathMonitor.cpp
@@ -0,0 +1,59 @@
+#include <algorithm>
+#include <gateway/PathMonitor.h>
+
+namespace bronzeswitch {
+
+std::size_t PathMonitor::countSince(const std::map<std::string, TimePoint>& events, TimePoint since) const
+{
+    return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [&](const auto& event) { return event.second > since; }));
+}
+
+bool PathMonitor::isCutOff(TimePoint now) const
+{
+    return countSince(m_failed, std::max(m_lastConnected, now - m_policy.evidenceTime)) >= m_policy.minUpstreams;
+}
+
+bool PathMonitor::isLost(const std::string& upstream, TimePoint now) const { return m_retestAt.contains(upstream) || isCutOff(now); }
+
+bool PathMonitor::shouldConnectDirectly(const std::string& upstream, TimePoint now)
+{
+    if (isCutOff(now)) {
+        if (now < m_nextTest)
+            return false;
+        m_nextTest = now + m_policy.retestInterval / 2;
+        return true;
+    }
+    const auto lost = m_retestAt.find(upstream);
+    if (lost == m_retestAt.end())
+        return true;
+    if (now < lost->second)
+        return false;
+    lost->second = now + m_policy.retestInterval;
+    return true;
+}
+
+void PathMonitor::onDirect(const std::string& upstream, bool isConnected, TimePoint now)
+{
+    if (!isConnected) {
+        m_failed[upstream] = now;
+        return;
+    }
+    m_lastConnected = now;
+    m_retestAt.erase(upstream);
+    m_failed.erase(upstream);
+}
+
+void PathMonitor::onReachedByOther(const std::string& upstream, TimePoint now)
+{
+    m_failed[upstream] = now; // Also while this node does not try its own path, so that it stays cut off until a test succeeds.
+    m_retestAt.try_emplace(upstream, now + m_policy.retestInterval);
+}
+
+bool PathMonitor::onBroken(const std::string& upstream, TimePoint now)
+{
+    m_broken[upstream] = now;
+    std::erase_if(m_broken, [&](const auto& event) { return event.second <= now - m_policy.burstTime; });
+    return isLost(upstream, now) || m_broken.size() >= m_policy.minUpstreams;
+}
+
+} // namespace bronzeswitch
--- a/libs/gateway/src/PeerView.cpp
+++ b/libs/gateway/src/PeerView.cpp
@@ -199,6 +199,16 @@
     return result;
 }
 
+std::vector<std::string> PeerView::peersWithPaths() const
+{
+    std::vector<std::string> result;
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.isLive && peer.report.isReady && !peer.report.isDraining && !peer.report.isCutOff)
+            result.push_back(address);
+    }
+    return result;
+}
+
 std::string PeerView::dataCentreOf(const std::string& address) const
 {
     const auto peer = m_peers.find(address);
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/string.hpp>
 #include <cmath>
 #include <gateway/CallerFingerprint.h>
+#include <gateway/UpstreamPaths.h>
 
 namespace bronzeswitch {
 
@@ -19,6 +20,8 @@
 constexpr Duration discardTimeout { 250 };
 constexpr std::size_t maxUnreachableUpstreams = 4; // Per request.
 constexpr int maxStaleResponses = 2; // Responses to earlier requests that are skipped on a connection.
+constexpr std::size_t maxUnreachableWithoutPath = 1; // Per request, while this node has lost the path to the upstreams.
+constexpr Duration silenceOnLostPath { 500 };
 constexpr Duration minRetryAfter { 100 };
 constexpr int quotaWaitDivisor = 2; // A request waits for tokens for half of its target latency, so that it can still be in time.
 constexpr Duration maxQuotaWaitAfterTakeover { 1500 };
@@ -112,6 +115,12 @@
         m_context.slots.cancel(m_slotRequestId);
 }
 
+void RequestTask::endSilentDispatch()
+{
+    if (m_activeConnection && !m_activeConnection->isPassedOn() && monotonicNow() - m_activeConnection->lastProgress() >= silenceOnLostPath)
+        m_activeConnection->abort();
+}
+
 void RequestTask::abandon()
 {
     m_isAbandoned = true;
@@ -247,7 +256,7 @@
     if (outcome == Outcome::Truncated || m_isAbandoned || monotonicNow() >= m_deadline)
         return false;
     if (!current.wasSent)
-        return m_excludedUpstreams.size() <= maxUnreachableUpstreams;
+        return m_excludedUpstreams.size() <= (m_context.paths->isCutOff() ? maxUnreachableWithoutPath : maxUnreachableUpstreams);
     if (m_attempts >= m_resolved.route->maxAttempts)
         return false;
     if (outcome != Outcome::NotRun && !isSafeToRunAgain())
@@ -267,19 +276,18 @@
     current.upstream = *upstream;
     if (withhold(current))
         co_return Outcome::NotRun;
-    const auto endpoint = parseEndpoint(upstream->address);
-    if (!endpoint) {
-        current.failure = endpoint.error().message;
-        co_return Outcome::NotRun;
-    }
-    auto ready = co_await m_context.connectionPool.acquire(*endpoint, m_deadline);
+    auto path = co_await m_context.paths->acquire(current.upstream, m_deadline);
     if (m_hasCallerDisconnected)
         co_return Outcome::CallerDisconnected;
-    if (!ready) {
-        current.failure = "connect: " + ready.error().message;
-        m_context.coldUpstreams.onConnectionLost(current.upstream, monotonicNow());
+    if (!path) {
+        current.failure = "connect: " + path.error().message;
+        current.isPathLost = path.error().code != ErrorCode::NotFound && m_context.paths->isLost(current.upstream.id);
+        if (!current.isPathLost)
+            m_context.coldUpstreams.onConnectionLost(current.upstream, monotonicNow());
         co_return Outcome::NotRun;
     }
+    current.passedOnBy = path->node;
+    auto* ready = &path->connection;
     if (withhold(current)) {
         m_context.connectionPool.release(std::move(ready->connection));
         co_return Outcome::NotRun;
@@ -365,10 +373,13 @@
     co_return head;
 }
 
-RequestTask::Outcome RequestTask::recordFailure(Dispatch& current, const Error& error) const
+RequestTask::Outcome RequestTask::recordFailure(Dispatch& current, const Error& error)
 {
     current.failure = error.message;
-    current.isLost = error.code == ErrorCode::Unavailable;
+    const bool isBroken = error.code == ErrorCode::Unavailable;
+    current.isPathLost = current.passedOnBy.empty()
+        && (isBroken ? m_context.paths->onBroken(current.upstream.id) : m_context.paths->isLost(current.upstream.id));
+    current.isLost = isBroken && !current.isPathLost;
     current.isEndedByNode = m_isAbandoned || error.code == ErrorCode::Exhausted;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
 }
@@ -433,6 +444,9 @@
     if (!isRefusal || !metadata.retryAfter)
         return;
     m_context.pauses.onRefused(current.upstream, *metadata.retryAfter, current.firstByteAt);
+    if (!current.passedOnBy.empty())
+        m_context.sendToNode(
+            current.passedOnBy, PauseNotice { current.upstream.id, current.upstream.startedAt, metadata.retryAfter->count() });
     m_context.log.write(events::upstreamNotice,
         { { "upstream", current.upstream.id }, { "pauseMs", metadata.retryAfter->count() }, { "source", "response" } });
 }
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -34,6 +34,9 @@
     /** Ends the wait for a slot: the node is about to stop, and sends nothing to upstreams any more. */
     void stopWaiting();
 
+    /** Ends a dispatch over a path that this node has lost, unless bytes have arrived a short time ago. */
+    void endSilentDispatch();
+
     /** Ends the request although its upstream has not responded completely: the node stops now. */
     void abandon();
 
@@ -99,7 +102,7 @@
     /** Applies what the upstream states about itself and about further requests of this node. */
     void applyStatements(const Dispatch&, const ResponseHead&, const ResponseMetadata&);
 
-    Outcome recordFailure(Dispatch&, const Error&) const;
+    Outcome recordFailure(Dispatch&, const Error&);
 
     /** Records that the upstream has answered, once a stream has enough events to show it. */
     void onFirstEvents(const Dispatch&, int64_t eventCountBefore);
--- /dev/null
+++ b/libs/gateway/tests/PathMonitorTests.cpp
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+#include <gateway/PathMonitor.h>
+
+using namespace bronzeswitch;
+
+namespace {
+
+const TimePoint start = TimePoint() + std::chrono::hours(1);
+const PathPolicy policy;
+
+} // namespace
+
+TEST_CASE("an upstream that another node reaches is tried over the own path again only now and then")
+{
+    PathMonitor monitor(policy);
+    CHECK(monitor.shouldConnectDirectly("e1", start));
+    monitor.onDirect("e1", false, start);
+    CHECK_FALSE(monitor.isLost("e1", start));
+    monitor.onReachedByOther("e1", start);
+    CHECK(monitor.isLost("e1", start));
+    CHECK_FALSE(monitor.shouldConnectDirectly("e1", start + policy.retestInterval / 2));
+    CHECK(monitor.shouldConnectDirectly("e2", start));
+    CHECK(monitor.shouldConnectDirectly("e1", start + policy.retestInterval));
+    CHECK_FALSE(monitor.shouldConnectDirectly("e1", start + policy.retestInterval)); // Another request tests it already.
+    monitor.onDirect("e1", true, start + policy.retestInterval);
+    CHECK_FALSE(monitor.isLost("e1", start + policy.retestInterval));
+}
+
+TEST_CASE("one upstream that fails is not taken for a lost path")
+{
+    PathMonitor monitor(policy);
+    for (int attempt = 0; attempt < 20; ++attempt)
+        monitor.onDirect("e1", false, start);
+    CHECK_FALSE(monitor.isLost("e1", start));
+    CHECK_FALSE(monitor.isCutOff(start));
+    CHECK_FALSE(monitor.onBroken("e1", start));
+}
+
+TEST_CASE("a node that reaches none of several upstreams is cut off until it reaches one")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3" })
+        monitor.onDirect(upstream, false, start);
+    CHECK(monitor.isCutOff(start));
+    CHECK(monitor.isLost("e9", start));
+    CHECK(monitor.shouldConnectDirectly("e9", start));
+    CHECK_FALSE(monitor.shouldConnectDirectly("e8", start)); // One test at a time.
+    const auto later = start + Duration(10);
+    monitor.onDirect("e9", true, later);
+    CHECK_FALSE(monitor.isCutOff(later));
+    CHECK(monitor.shouldConnectDirectly("e8", later));
+}
+
+TEST_CASE("evidence of a lost path expires")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3" })
+        monitor.onDirect(upstream, false, start);
+    CHECK_FALSE(monitor.isCutOff(start + policy.evidenceTime));
+}
+
+TEST_CASE("connections to several upstreams that break off together show a lost path")
+{
+    PathMonitor monitor(policy);
+    CHECK_FALSE(monitor.onBroken("e1", start));
+    CHECK_FALSE(monitor.onBroken("e2", start));
+    CHECK(monitor.onBroken("e3", start));
+    CHECK_FALSE(monitor.onBroken("e1", start + policy.burstTime));
+}
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -337,6 +337,7 @@
     int registeredNodes = 0; /**< Nodes in the registry, as far as the sender knows; 0 if it doesn't know. */
     bool isRegistrar = false; /**< The sender maintains the registry and has read it a short time ago. */
     std::vector<EvacuationOrder> evacuations; /**< The latest one of each data centre. Left out on the wire if there are none. */
+    bool isCutOff = false; /**< The sender has lost the path to the upstreams. Left out on the wire if it has not. */
 
     bool operator==(const NodeReport&) const = default;
 };
@@ -424,10 +425,19 @@
 };
 
 /** Any message between nodes. The index of its type is its type number on the wire, so new types are added at the end. */
+/** Sent to the node that has passed a request on: its upstream wants no request from that node for a time. */
+struct PauseNotice {
+    std::string upstream;
+    int64_t startedAt = 0; /**< Unix milliseconds of the upstream's start. */
+    int64_t pauseMs = 0;
+
+    bool operator==(const PauseNotice&) const = default;
+};
+
 using Message = std::variant<Hello, Heartbeat, HeartbeatAck, StateRequest, StateOffer, SlotRequest, SlotGrant, SlotRefusal, SlotCancel,
     SlotRelease, SlotInUse, ClaimRequest, ClaimResponse, ClaimOutcome, RolloutAlarm, ClaimDeclaration, ClaimDeclarationAck, NodeReport,
     SlotQueued, StateUpdate, QuotaRequest, QuotaResponse, QuotaShareLoan, QuotaShareReturn, PromptLoss, PromptPartsQuery,
-    PromptPartsAnswered, NoticeUpdate>;
+    PromptPartsAnswered, NoticeUpdate, PauseNotice>;
 
 /**
  * @return the message as a CBOR array of its type number and its fields. Optional fields at the end that have their default values are
--- a/libs/protocol/src/Messages.cpp
+++ b/libs/protocol/src/Messages.cpp
@@ -91,9 +91,11 @@
         return std::tie(message.node, message.dataCentre, message.incarnation, message.sequence, message.isReady, message.isDraining,
             message.routingVersion, message.directoryPosition, message.hasLoads, message.loads, message.suspects, message.peers,
             message.rollouts, message.capacity, message.isDelegate, message.liveNodes, message.knownNodes, message.isSourceReachable,
-            message.quarantines, message.notices, message.registeredNodes, message.isRegistrar, message.evacuations);
+            message.quarantines, message.notices, message.registeredNodes, message.isRegistrar, message.evacuations, message.isCutOff);
     else if constexpr (std::is_same_v<Type, NoticeUpdate>)
         return std::tie(message.notices);
+    else if constexpr (std::is_same_v<Type, PauseNotice>)
+        return std::tie(message.upstream, message.startedAt, message.pauseMs);
     else if constexpr (std::is_same_v<Type, PromptLoss>)
         return std::tie(message.upstream, message.parts);
     else if constexpr (std::is_same_v<Type, PromptPartsQuery> || std::is_same_v<Type, PromptPartsAnswered>)
@@ -114,7 +116,7 @@
 
 // Fields at the end that messages of the last version lack.
 template <typename T> constexpr std::size_t optionalFieldCount = 0;
-template <> constexpr std::size_t optionalFieldCount<NodeReport> = 1;
+template <> constexpr std::size_t optionalFieldCount<NodeReport> = 2;
 template <> constexpr std::size_t optionalFieldCount<SlotGrant> = 1;
 template <> constexpr std::size_t optionalFieldCount<SlotRequest> = 1;
 template <> constexpr std::size_t optionalFieldCount<UpstreamLoad> = 4;
--- a/libs/protocol/tests/MessageTests.cpp
+++ b/libs/protocol/tests/MessageTests.cpp
@@ -28,7 +28,7 @@
         SlotQueued { 7 }, StateUpdate { std::string("\x81\0", 2) }, QuotaRequest { 9, "north", 700, 200, 1500 },
         QuotaResponse { 9, false, 40, 900, 875000, true }, QuotaShareLoan { 69, { 0, 7 } }, QuotaShareReturn { { 3 } },
         PromptLoss { "e1", { "5c1e", "91bd" } }, PromptPartsQuery { { "91bd" } }, PromptPartsAnswered { { "5c1e" } },
-        NoticeUpdate { { { "e1", 1790000000000, false, 0, 200 } } } };
+        NoticeUpdate { { { "e1", 1790000000000, false, 0, 200 } } }, PauseNotice { "e1", 1790000000000, 700 } };
 }
 
 } // namespace
--- a/libs/server/src/Node.cpp
+++ b/libs/server/src/Node.cpp
@@ -240,6 +240,7 @@
         void operator()(const PromptPartsQuery&) const { }
         void operator()(const PromptPartsAnswered&) const { }
         void operator()(const NoticeUpdate&) const { }
+        void operator()(const PauseNotice&) const { }
         void operator()(const StateRequest&) const { node.sendState(from); }
         void operator()(const StateOffer& message) const { node.adoptState(message); }
         // Handled by the mesh itself.
