--- a/libs/gateway/include/gateway/StateFetchPlan.h
+++ b/libs/gateway/include/gateway/StateFetchPlan.h
@@ -15,8 +15,8 @@
  */
 class StateFetchPlan {
 public:
-    explicit StateFetchPlan(StateFetchPolicy policy)
-        : m_policy(std::move(policy))
+    explicit StateFetchPlan(const StateFetchPolicy& policy)
+        : m_policy(policy)
     {
     }
 
@@ -33,7 +33,7 @@
     {
         if (!isDue(now))
             return std::nullopt;
-        const auto address = m_policy.choosePeer(usable(holders, now), behindFor, random);
+        auto address = m_policy.choosePeer(usable(holders, now), behindFor, random);
         if (address)
             m_attempts[*address] = now;
         return address;
--- a/libs/protocol/include/protocol/Messages.h
+++ b/libs/protocol/include/protocol/Messages.h
@@ -336,8 +336,8 @@
     std::vector<UpstreamNotice> notices; /**< Of upstreams in the sender's directory. Only delegates exchange them. */
     int registeredNodes = 0; /**< Nodes in the registry, as far as the sender knows; 0 if it doesn't know. */
     bool isRegistrar = false; /**< The sender maintains the registry and has read it a short time ago. */
-    std::vector<EvacuationOrder> evacuations; /**< The latest one of each data centre. Left out on the wire if there are none. */
     bool isCutOff = false; /**< The sender has lost the path to the upstreams. Left out on the wire if it has not. */
+    std::vector<EvacuationOrder> evacuations; /**< The latest one of each data centre. Left out on the wire if there are none. */
 
     bool operator==(const NodeReport&) const = default;
 };
--- a/libs/protocol/tests/MessageTests.cpp
+++ b/libs/protocol/tests/MessageTests.cpp
@@ -23,7 +23,7 @@
         NodeReport { "n1", "honda", 1790000000000, 4, true, false, 7, { 2, 40 }, true, { { "e1", 3, 120, 2500, 7, 2 } }, { "e2" },
             { { "127.0.0.1:9", "mompox", false } },
             { { "reader", "v2", 12000, 41, RolloutPhase::Moving, 800, { { "check", { 9, 8, 1, { 0, 8 }, { 7 } }, {} } }, 2 } }, 500, true,
-            60, 69, false, { { { "5c1e", "91bd" }, 2, 60000 } }, { { "e1", 1790000000000, true, 40, 1400, 2500 } }, 70, true,
+            60, 69, false, { { { "5c1e", "91bd" }, 2, 60000 } }, { { "e1", 1790000000000, true, 40, 1400, 2500 } }, 70, true, true,
             { { "honda", { 2, 17 }, true } } },
         SlotQueued { 7 }, StateUpdate { std::string("\x81\0", 2) }, QuotaRequest { 9, "north", 700, 200, 1500 },
         QuotaResponse { 9, false, 40, 900, 875000, true }, QuotaShareLoan { 69, { 0, 7 } }, QuotaShareReturn { { 3 } },
