Tell a lost path from upstreams that fail, and living connections from silent ones

Three upstreams that crash at the same time could make a node take itself for cut off, although others responded: only new connections counted as reached, and most requests use kept ones. Then crashes were not attributed to upstreams or prompts. On a path that refuses new connections while open ones live on, dispatches that had been silent for 500 ms were ended, also such as had just been sent on a connection that had been idle. And a path that was lost once counted as lost until it was used again, so that the node refused to pass connections on.

A response over the own path shows now that the node is not cut off; dispatches are ended, and idle connections avoided, only where connections hang; the silence is counted from the last request; evidence ends after 2 s. A connection by another node that breaks off shows nothing about the upstream, since the node between may have ended.

--- a/libs/gateway/include/gateway/PathMonitor.h
+++ b/libs/gateway/include/gateway/PathMonitor.h
@@ -17,6 +17,9 @@
     bool operator==(const PathPolicy&) const = default;
 };
 
+/** How an attempt to open a connection over a node's own path ended. */
+enum class ConnectResult { Connected, Refused, TimedOut };
+
 /**
  * Judges whether a failure to reach an upstream is one of the upstream or of the path between it and this node.
  *
@@ -26,7 +29,7 @@
  * at the same time, while none is reached, show it.
  *
  *     if (monitor.shouldConnectDirectly(upstream, now))
- *         monitor.onDirect(upstream, isConnected, now);
+ *         monitor.onDirect(upstream, ConnectResult::Connected, now);
  */
 class PathMonitor {
 public:
@@ -39,11 +42,14 @@
     bool shouldConnectDirectly(const std::string& upstream, TimePoint now);
 
     /** Records the attempt to open a connection to an upstream over this node's own path. */
-    void onDirect(const std::string& upstream, bool isConnected, TimePoint now);
+    void onDirect(const std::string& upstream, ConnectResult, TimePoint now);
 
     /** Records that another node has opened the connection that failed over this node's own path. */
     void onReachedByOther(const std::string& upstream, TimePoint now);
 
+    /** Records that an upstream has responded over this node's own path. */
+    void onResponse(TimePoint now) { m_lastReached = now; }
+
     /** Records that an open connection broke off. @return true if the path was lost rather than the upstream. */
     bool onBroken(const std::string& upstream, TimePoint now);
 
@@ -53,6 +59,15 @@
     /** @return true if this node has lost the path to the upstreams altogether. */
     bool isCutOff(TimePoint now) const;
 
+    /**
+     * @return true if this node is cut off by a path on which connections hang, so that open ones hang as well. Where new connections are
+     * refused, open ones may live on.
+     */
+    bool isSilent(TimePoint now) const { return isCutOff(now) && now - m_lastRefused >= m_policy.evidenceTime; }
+
+    /** Forgets old evidence. Called periodically. */
+    void expire(TimePoint now);
+
 private:
     std::size_t countSince(const std::map<std::string, TimePoint>& events, TimePoint since) const;
 
@@ -60,7 +75,8 @@
     std::map<std::string, TimePoint> m_retestAt; /**< Of upstreams without an own path: when it is tested again. */
     std::map<std::string, TimePoint> m_failed; /**< Last failed attempt at a connection, by upstream. */
     std::map<std::string, TimePoint> m_broken; /**< Last connection that broke off, by upstream. */
-    TimePoint m_lastConnected {}; /**< Over an own path. */
+    TimePoint m_lastReached {}; /**< When a connection over an own path was opened or carried a response. */
+    TimePoint m_lastRefused {}; /**< When a connection over an own path was refused. */
     TimePoint m_nextTest {}; /**< While this node is cut off. */
 };
 
--- a/libs/gateway/include/gateway/UpstreamPaths.h
+++ b/libs/gateway/include/gateway/UpstreamPaths.h
@@ -32,6 +32,9 @@
     /** Records that a connection over this node's own path broke off. @return true if the path was lost rather than the upstream. */
     bool onBroken(const std::string& upstream) { return m_monitor.onBroken(upstream, monotonicNow()); }
 
+    /** Records that an upstream has responded over this node's own path. */
+    void onResponse() { m_monitor.onResponse(monotonicNow()); }
+
     /** @return true if failures at an upstream are failures of this node's own path to it. */
     bool isLost(const std::string& upstream) const { return m_monitor.isLost(upstream, monotonicNow()); }
 
--- a/libs/gateway/src/PathMonitor.cpp
+++ b/libs/gateway/src/PathMonitor.cpp
@@ -10,10 +10,21 @@
 
 bool PathMonitor::isCutOff(TimePoint now) const
 {
-    return countSince(m_failed, std::max(m_lastConnected, now - m_policy.evidenceTime)) >= m_policy.minUpstreams;
+    return countSince(m_failed, std::max(m_lastReached, now - m_policy.evidenceTime)) >= m_policy.minUpstreams;
 }
 
-bool PathMonitor::isLost(const std::string& upstream, TimePoint now) const { return m_retestAt.contains(upstream) || isCutOff(now); }
+bool PathMonitor::isLost(const std::string& upstream, TimePoint now) const
+{
+    const auto failed = m_failed.find(upstream);
+    const bool isEvidenceFresh = failed != m_failed.end() && now - failed->second < m_policy.evidenceTime;
+    return (m_retestAt.contains(upstream) && isEvidenceFresh) || isCutOff(now);
+}
+
+void PathMonitor::expire(TimePoint now)
+{
+    std::erase_if(m_failed, [&](const auto& event) { return now - event.second >= m_policy.evidenceTime; });
+    std::erase_if(m_retestAt, [&](const auto& retest) { return !m_failed.contains(retest.first); });
+}
 
 bool PathMonitor::shouldConnectDirectly(const std::string& upstream, TimePoint now)
 {
@@ -32,13 +43,15 @@
     return true;
 }
 
-void PathMonitor::onDirect(const std::string& upstream, bool isConnected, TimePoint now)
+void PathMonitor::onDirect(const std::string& upstream, ConnectResult result, TimePoint now)
 {
-    if (!isConnected) {
+    if (result == ConnectResult::Refused)
+        m_lastRefused = now;
+    if (result != ConnectResult::Connected) {
         m_failed[upstream] = now;
         return;
     }
-    m_lastConnected = now;
+    m_lastReached = now;
     m_retestAt.erase(upstream);
     m_failed.erase(upstream);
 }
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -377,8 +377,10 @@
 {
     current.failure = error.message;
     const bool isBroken = error.code == ErrorCode::Unavailable;
-    current.isPathLost = current.passedOnBy.empty()
-        && (isBroken ? m_context.paths->onBroken(current.upstream.id) : m_context.paths->isLost(current.upstream.id));
+    if (!current.passedOnBy.empty())
+        current.isPathLost = isBroken; // By the upstream or by the node between.
+    else
+        current.isPathLost = isBroken ? m_context.paths->onBroken(current.upstream.id) : m_context.paths->isLost(current.upstream.id);
     current.isLost = isBroken && !current.isPathLost;
     current.isEndedByNode = m_isAbandoned || error.code == ErrorCode::Exhausted;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
@@ -388,6 +390,8 @@
 {
     const auto metadata = m_context.headerCodec.decodeResponse(head);
     current.firstByteAt = monotonicNow();
+    if (current.passedOnBy.empty())
+        m_context.paths->onResponse();
     current.statesLeaving = metadata.isLeaving;
     if (metadata.load)
         m_context.slots.reportLoad(m_service, current.upstream.id, *metadata.load);
--- a/libs/gateway/src/UpstreamPaths.cpp
+++ b/libs/gateway/src/UpstreamPaths.cpp
@@ -27,6 +27,13 @@
     });
 }
 
+ConnectResult resultOf(const Result<AcquiredConnection>& connection)
+{
+    if (connection)
+        return ConnectResult::Connected;
+    return connection.error().code == ErrorCode::Timeout ? ConnectResult::TimedOut : ConnectResult::Refused;
+}
+
 } // namespace
 
 UpstreamPaths::UpstreamPaths(GatewayContext& context, const PeerView& peers, std::string dataCentre)
@@ -41,7 +48,9 @@
     const auto endpoint = parseEndpoint(upstream.address);
     if (!endpoint)
         co_return tl::unexpected(endpoint.error());
-    if (auto idle = m_context.connectionPool.takeIdle(*endpoint))
+    auto idle = m_context.connectionPool.takeIdle(*endpoint);
+    const bool isUsable = idle && !m_monitor.isSilent(monotonicNow());
+    if (isUsable)
         co_return UpstreamPath { { std::move(idle), false }, "" };
     Result<UpstreamPath> path = fail(ErrorCode::Unavailable, "no path");
     const bool isDirect = m_monitor.shouldConnectDirectly(upstream.id, monotonicNow());
@@ -68,7 +77,7 @@
     const bool isAlone = nodesToAsk().empty();
     const auto time = isAlone ? m_context.connectionPool.connectTimeout() : attemptDelay;
     auto connection = co_await m_context.connectionPool.open(endpoint, std::min(deadline, monotonicNow() + time));
-    m_monitor.onDirect(upstream.id, connection.has_value(), monotonicNow());
+    m_monitor.onDirect(upstream.id, resultOf(connection), monotonicNow());
     if (!connection)
         co_return tl::unexpected(connection.error());
     co_return UpstreamPath { std::move(*connection), "" };
@@ -137,10 +146,12 @@
 
 void UpstreamPaths::tick()
 {
+    const auto now = monotonicNow();
+    m_monitor.expire(now);
     const bool isCut = isCutOff();
     if (std::exchange(m_wasCutOff, isCut) != isCut)
         m_context.log.write(isCut ? events::pathsLost : events::pathsRegained, { { "passedOn", m_passedOn } });
-    if (!isCut)
+    if (!m_monitor.isSilent(now))
         return;
     for (auto* request : std::set(*m_context.activeRequests))
         request->endSilentDispatch();
--- a/libs/gateway/tests/PathMonitorTests.cpp
+++ b/libs/gateway/tests/PathMonitorTests.cpp
@@ -14,7 +14,7 @@
 {
     PathMonitor monitor(policy);
     CHECK(monitor.shouldConnectDirectly("e1", start));
-    monitor.onDirect("e1", false, start);
+    monitor.onDirect("e1", ConnectResult::TimedOut, start);
     CHECK_FALSE(monitor.isLost("e1", start));
     monitor.onReachedByOther("e1", start);
     CHECK(monitor.isLost("e1", start));
@@ -22,7 +22,7 @@
     CHECK(monitor.shouldConnectDirectly("e2", start));
     CHECK(monitor.shouldConnectDirectly("e1", start + policy.retestInterval));
     CHECK_FALSE(monitor.shouldConnectDirectly("e1", start + policy.retestInterval)); // Another request tests it already.
-    monitor.onDirect("e1", true, start + policy.retestInterval);
+    monitor.onDirect("e1", ConnectResult::Connected, start + policy.retestInterval);
     CHECK_FALSE(monitor.isLost("e1", start + policy.retestInterval));
 }
 
@@ -30,7 +30,7 @@
 {
     PathMonitor monitor(policy);
     for (int attempt = 0; attempt < 20; ++attempt)
-        monitor.onDirect("e1", false, start);
+        monitor.onDirect("e1", ConnectResult::TimedOut, start);
     CHECK_FALSE(monitor.isLost("e1", start));
     CHECK_FALSE(monitor.isCutOff(start));
     CHECK_FALSE(monitor.onBroken("e1", start));
@@ -40,13 +40,13 @@
 {
     PathMonitor monitor(policy);
     for (const char* upstream : { "e1", "e2", "e3" })
-        monitor.onDirect(upstream, false, start);
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
     CHECK(monitor.isCutOff(start));
     CHECK(monitor.isLost("e9", start));
     CHECK(monitor.shouldConnectDirectly("e9", start));
     CHECK_FALSE(monitor.shouldConnectDirectly("e8", start)); // One test at a time.
     const auto later = start + Duration(10);
-    monitor.onDirect("e9", true, later);
+    monitor.onDirect("e9", ConnectResult::Connected, later);
     CHECK_FALSE(monitor.isCutOff(later));
     CHECK(monitor.shouldConnectDirectly("e8", later));
 }
@@ -55,7 +55,7 @@
 {
     PathMonitor monitor(policy);
     for (const char* upstream : { "e1", "e2", "e3" })
-        monitor.onDirect(upstream, false, start);
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
     CHECK_FALSE(monitor.isCutOff(start + policy.evidenceTime));
 }
 
@@ -67,3 +67,35 @@
     CHECK(monitor.onBroken("e3", start));
     CHECK_FALSE(monitor.onBroken("e1", start + policy.burstTime));
 }
+
+TEST_CASE("a node to which upstreams respond is not cut off, however many others fail")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3", "e4" })
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    monitor.onResponse(start + Duration(1));
+    CHECK_FALSE(monitor.isCutOff(start + Duration(2)));
+    CHECK_FALSE(monitor.isLost("e9", start + Duration(2)));
+}
+
+TEST_CASE("open connections count as silent only where new ones hang")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3" })
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    CHECK(monitor.isSilent(start));
+    monitor.onDirect("e4", ConnectResult::Refused, start);
+    CHECK(monitor.isCutOff(start));
+    CHECK_FALSE(monitor.isSilent(start));
+}
+
+TEST_CASE("a lost path to an upstream that gets no more requests is forgotten")
+{
+    PathMonitor monitor(policy);
+    monitor.onDirect("e1", ConnectResult::TimedOut, start);
+    monitor.onReachedByOther("e1", start);
+    CHECK(monitor.isLost("e1", start));
+    CHECK_FALSE(monitor.isLost("e1", start + policy.evidenceTime));
+    monitor.expire(start + policy.evidenceTime);
+    CHECK(monitor.shouldConnectDirectly("e1", start + policy.evidenceTime));
+}
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -87,7 +87,7 @@
     /** @return true if another node passes the connection on. */
     bool isPassedOn() const { return !m_endMark.empty(); }
 
-    /** @return when bytes last arrived, or the connection was opened. */
+    /** @return when bytes last arrived, the last request was sent or the connection was opened. */
     TimePoint lastProgress() const { return m_lastProgress; }
 
     const asio::ip::tcp::endpoint& endpoint() const { return m_endpoint; }
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -115,6 +115,7 @@
 {
     m_isHeadMethod = request.isHeadMethod;
     m_isComplete = false;
+    m_lastProgress = monotonicNow();
     m_stream->expires_at(deadline);
     startWrite(std::move(request));
     co_return co_await readHead(deadline);
