Review: a version that is bad under load is completed before it has run under load

Cause: a roll-out of a plain service is completed as soon as the stable version is idle, some 0.2 s after the move, and the end can't be taken back.

--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -477,3 +477,42 @@
     def stop(self):
         for node in self.nodes:
             node.stop()
+
+
+class PlainEngine(Engine):
+    """An engine of a plain service: answers with a short body after its work, or with a failure if it is told to."""
+
+    def __init__(self, store, record, name, version="v1", zone="barranca", slots=6, work=0.015):
+        super().__init__(store, record, name, service="registro", zone=zone, slots=slots)
+        self.version, self.work = version, work
+        self.fails = lambda engine, fields: False
+        self.truncates = False  # A failure is a response that breaks off, in place of one with status 500.
+        self.on_answer = lambda engine, fields, status: None
+
+    def entry(self, state="ready"):
+        return {**super().entry(state), "version": self.version}
+
+    async def answer(self, fields, writer):
+        fails = self.fails(self, fields)
+        await asyncio.sleep(self.work)
+        if fails and self.truncates:
+            extra = "X-Instance-Signature: sig.%s\r\nContent-Length: 800\r\n" % self.id
+            writer.write(self.head(200, fields, extra) + b"x" * 400)
+            self.on_answer(self, fields, 0)
+            raise ConnectionError()
+        status, body = (500, b"failed") if fails else (200, b"x" * 800)
+        extra = "X-Instance-Signature: sig.%s\r\nContent-Length: %d\r\n" % (self.id, len(body))
+        writer.write(self.head(status, fields, extra) + body)
+        self.on_answer(self, fields, status)
+
+    def stop(self):
+        """Stops at once, without draining, and its entry goes."""
+        self.is_up = False
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.store.put("keyed.servers", self.id, None)
+
+
+def plain_fields(deadline_ms=1500):
+    return {"X-Attempt-Id": attempt_id(), "X-Deadline-Ms": str(deadline_ms), "Authorization": "Token key-1"}
