--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -93,6 +93,18 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def start_view(self, address_of):
+        """Serves the same store at a port of its own, with other addresses of engines: a machine that reaches them by paths of its
+        own. Returns the port. address_of: returns the address for an engine's id."""
+        view = await asyncio.start_server(lambda reader, writer: self.serve(reader, writer, address_of), "127.0.0.1", 0)
+        return view.sockets[0].getsockname()[1]
+
+    @staticmethod
+    def viewed(topic, key, value, address_of):
+        if value is None or address_of is None or topic != "keyed.servers":
+            return value
+        return json.dumps({**json.loads(value), "address": address_of(key)}).encode()
+
     def put(self, topic, key, value):
         """Appends a record; without a value the key is dropped."""
         data = None if value is None else (value if isinstance(value, bytes) else json.dumps(value).encode())
@@ -106,13 +118,13 @@
             found[key] = (value, offset)
         return {key: item for key, item in found.items() if item[0] is not None}
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, address_of=None):
         try:
             while True:
-                method, target, _, body = await read_request(reader)
+                _, target, _, body = await read_request(reader)
                 path, _, query = target.partition("?")
                 args = dict(part.partition("=")[::2] for part in query.split("&") if part)
-                status, data, kind = await self.answer(path, args, body)
+                status, data, kind = await self.answer(path, args, body, address_of)
                 head = "HTTP/1.1 %d X\r\nContent-Type: %s\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n" % (
                     status, kind, self.era, len(data))
                 writer.write(head.encode() + data)
@@ -122,7 +134,7 @@
         finally:
             writer.close()
 
-    async def answer(self, path, args, body):
+    async def answer(self, path, args, body, address_of=None):
         text = "application/json"
         topic = args.get("topic", "")
         if path == "/log-append":
@@ -142,7 +154,7 @@
             return 200, json.dumps({"offset": first, "end_offset": len(records)}).encode(), text
         if path == "/log-newest":
             await asyncio.sleep(0.004)
-            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            items = [{"key": key, "value": base64.b64encode(self.viewed(topic, key, value, address_of)).decode(), "offset": offset}
                      for key, (value, offset) in sorted(self.newest(topic).items())]
             end = len(self.topics.get(topic, []))
             return 200, json.dumps({"items": items, "has_more": False, "end_offset": end}).encode(), text
@@ -163,7 +175,7 @@
             await asyncio.sleep(0.004)
             data = struct.pack(">QQ", len(records), 0)
             for key, value in records[start:]:
-                content = bytes([len(key)]) + key.encode() + (value or b"")
+                content = bytes([len(key)]) + key.encode() + (self.viewed(topic, key, value, address_of) or b"")
                 data += struct.pack(">I", len(content)) + content
             return 200, data, "application/octet-stream"
         return 404, b"{}", text
@@ -174,7 +186,7 @@
 
     PORTS = None
 
-    def __init__(self, store, name, zone, address, seeds):
+    def __init__(self, store, name, zone, address, seeds, store_port=None):
         self.name, self.zone, self.address = name, zone, address
         self.folder = tempfile.mkdtemp(prefix="bronzeswitch-review-")
         self.process = None
@@ -193,7 +205,7 @@
             "limits": {"cpu_share": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
             "data_dir": None, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-            "platform": {"address": "127.0.0.1:%d" % store.port, "form": "log", "writes_per_s": 400, "reads_per_s": 2000,
+            "platform": {"address": "127.0.0.1:%d" % (store_port or store.port), "form": "log", "writes_per_s": 400, "reads_per_s": 2000,
                          "parts": 8, "append_ms": 4.0, "keep_s": 300, "max_record_bytes": 262144,
                          "max_call_bytes": 2097152},
         }
@@ -479,6 +491,49 @@
             node.stop()
 
 
+class Link:
+    """The path of one machine to one engine. While it is cut, open connections are reset and new ones are refused."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.writers = set()
+        self.server = None
+        self.port = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def cut(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self.engine.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers.add(other_writer)
+        try:
+            await asyncio.gather(self.pass_bytes(reader, other_writer), self.pass_bytes(other_reader, writer))
+        except asyncio.CancelledError:
+            pass
+        self.writers -= {writer, other_writer}
+
+    @staticmethod
+    async def pass_bytes(reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (asyncio.CancelledError, ConnectionError, OSError):
+            writer.transport.abort()
+
+
 class PlainEngine(Engine):
     """An engine of a plain service: answers with a short body after its work, or with a failure if it is told to."""
 
