--- a/libs/gateway/include/gateway/UpstreamPaths.h
+++ b/libs/gateway/include/gateway/UpstreamPaths.h
@@ -3,6 +3,7 @@
 #include <gateway/GatewayContext.h>
 #include <gateway/PathMonitor.h>
 #include <gateway/PeerView.h>
+#include <net/PassOn.h>
 
 #include <random>
 
@@ -41,8 +42,8 @@
     /** @return true if this node has lost the path to the upstreams altogether. */
     bool isCutOff() const { return m_monitor.isCutOff(monotonicNow()); }
 
-    /** Passes a peer's connection on to an upstream. @param target of the peer's request. */
-    Task<void> passOn(std::shared_ptr<CallerConnection>, std::string target, std::string mark);
+    /** Passes a peer's connection on to an upstream. */
+    Task<void> passOn(std::shared_ptr<CallerConnection>, PassOnRequest);
 
     /** Logs a change of isCutOff() and ends what waits on lost paths. Called periodically. */
     void tick();
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -3,7 +3,6 @@
 #include <base/HttpStatus.h>
 #include <gateway/GatewayNode.h>
 #include <gateway/ResourceShares.h>
-#include <net/PassOn.h>
 #include <protocol/Messages.h>
 
 namespace bronzeswitch {
@@ -121,7 +120,7 @@
     m_peerServer->limitRequests(serverLimits, shares.peers, onLimit("peer"));
     m_peerServer->limitLargeResponses(StateFetchPolicy {}.responseLimit);
     m_peerServer->setPassOnHandler([this](std::shared_ptr<CallerConnection> connection, const FullHttpRequest& request) {
-        return m_paths.passOn(std::move(connection), std::string(request.target()), fieldValue(request.base(), passOnMarkField));
+        return m_paths.passOn(std::move(connection), parsePassOnRequest(request));
     });
     const auto bound = m_peerServer->endpoint();
     auto datagrams = DatagramSocket::create(m_context.executor, { bound.address(), bound.port() });
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -324,7 +324,9 @@
 {
     const DispatchMetadata metadata { current.upstream.id, timeLeft(m_deadline),
         m_resolved.organisation ? m_resolved.organisation->name : "", m_stream.lastEventId() };
-    const auto fields = m_context.headerCodec.encodeDispatch(endToEndFields(m_request.base()), metadata);
+    auto fields = m_context.headerCodec.encodeDispatch(endToEndFields(m_request.base()), metadata);
+    if (!current.passedOnBy.empty())
+        fields.set("Connection", "close"); // It carries one request, and the mark of its end completes the response.
     const auto method = m_request.method_string();
     const auto target = m_request.target();
     OutgoingRequest request;
--- a/libs/gateway/src/UpstreamPaths.cpp
+++ b/libs/gateway/src/UpstreamPaths.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <base/HttpStatus.h>
 #include <gateway/UpstreamPaths.h>
-#include <net/PassOn.h>
 
 namespace bronzeswitch {
 
@@ -126,11 +125,12 @@
     return m_context.mayDispatch ? nullptr : "this node stops";
 }
 
-Task<void> UpstreamPaths::passOn(std::shared_ptr<CallerConnection> connection, std::string target, std::string mark)
+Task<void> UpstreamPaths::passOn(std::shared_ptr<CallerConnection> connection, PassOnRequest request)
 {
+    const auto& target = request.target;
     const auto* upstream
         = target.starts_with(passOnPath) ? m_context.directory.find(target.substr(std::string_view(passOnPath).size())) : nullptr;
-    const auto* reason = mark.empty() ? "no mark" : reasonToRefuse(upstream);
+    const auto* reason = request.mark.empty() ? "no mark" : reasonToRefuse(upstream);
     const auto endpoint = upstream ? parseEndpoint(upstream->address) : Result<asio::ip::tcp::endpoint>(fail(ErrorCode::NotFound, target));
     if (reason || !endpoint) {
         m_context.metrics.countIncident("pass-on-refused");
@@ -138,7 +138,7 @@
         co_return;
     }
     ++m_passedOn;
-    const auto bytes = co_await bronzeswitch::passOn(connection, *endpoint, std::move(mark), monotonicNow() + passOnConnectTime);
+    const auto bytes = co_await bronzeswitch::passOn(connection, *endpoint, request, monotonicNow() + passOnConnectTime);
     --m_passedOn;
     m_context.metrics.countIncident("passed-on");
     m_context.metrics.countIncident("passed-on-bytes", static_cast<int>(std::min<uint64_t>(bytes, INT32_MAX)));
--- a/libs/net/include/net/PassOn.h
+++ b/libs/net/include/net/PassOn.h
@@ -1,23 +1,38 @@
 #pragma once
 
 #include <net/CallerConnection.h>
+#include <net/HttpTypes.h>
 
 #include <memory>
 #include <string>
 
 namespace bronzeswitch {
 
-/** Field of a CONNECT request between nodes: the mark that is written behind the last byte if the server ends its connection orderly. */
-inline constexpr const char* passOnMarkField = "Pass-On-Mark";
+/** What a node asks another one that is to pass a connection on: a CONNECT request. */
+struct PassOnRequest {
+    std::string target; /**< Names the server. */
+    std::string mark; /**< Written behind the last byte if the server ends its connection orderly; empty if the node expects none. */
+    bool isMarkFiltered = false; /**< The node tells the mark from the server's bytes whatever the framing of the response. */
+
+    bool operator==(const PassOnRequest&) const = default;
+};
+
+/** @return the head of the request to a node. */
+std::string formatPassOnRequest(const PassOnRequest&, const asio::ip::tcp::endpoint& node);
+
+/** @return what a CONNECT request asks for. */
+PassOnRequest parsePassOnRequest(const FullHttpRequest&);
 
 /**
  * Opens a connection to a server and passes the bytes of another node's connection on to it and back, until one of them ends.
  *
  * The node first gets a response that says whether the server was reached. The end of the server's connection is passed on as it was: after
  * an orderly one the mark follows the last byte, a reset is passed on as a reset. So the end of this node never looks like the orderly end
- * of the server's response. When the other node closes its connection, that to the server is closed at once.
+ * of the server's response. A node that would take the mark for missing bytes of a response gets none: to that node, no response that ends
+ * with its connection is complete. When the other node closes its connection, that to the server is closed at once.
  * @return bytes that were passed on in both directions.
  */
-Task<uint64_t> passOn(std::shared_ptr<CallerConnection>, asio::ip::tcp::endpoint server, std::string mark, TimePoint connectDeadline);
+Task<uint64_t> passOn(
+    std::shared_ptr<CallerConnection>, asio::ip::tcp::endpoint server, const PassOnRequest& request, TimePoint connectDeadline);
 
 } // namespace bronzeswitch
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -2,6 +2,7 @@
 
 #include <net/Async.h>
 #include <net/HttpTypes.h>
+#include <net/PassedStream.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -85,7 +86,7 @@
     Duration idleTimeout() const { return m_idleTimeout; }
 
     /** @return true if another node passes the connection on. */
-    bool isPassedOn() const { return !m_endMark.empty(); }
+    bool isPassedOn() const { return m_reader.isPassedOn(); }
 
     /** @return when bytes last arrived, the last request was sent or the connection was opened. */
     TimePoint lastProgress() const { return m_lastProgress; }
@@ -118,13 +119,8 @@
     void resetParser();
     void updateIdleTimeout(const ResponseHead&);
 
-    /** Keeps as many of the last bytes of a body as the mark has. @param start where the part that was just read begins. */
-    void holdBackEnd(std::string& body, std::size_t start);
-
-    /** Removes the mark behind a body that ends with the connection. @return false if it is missing, so that the body is incomplete. */
-    bool removeEndMark(std::string& body, std::size_t start);
-
     std::shared_ptr<TcpStream> m_stream; /**< Shared with a pending write, which may outlive this object. */
+    PassedStream m_reader; /**< Reads from m_stream. */
     asio::ip::tcp::endpoint m_endpoint;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
@@ -135,8 +131,6 @@
     Duration m_idleTimeout { 0 };
     TimePoint m_lastUsed {};
     TimePoint m_lastProgress {};
-    std::string m_endMark; /**< The node that passes the connection on writes it behind the last byte if the server has ended it orderly. */
-    std::string m_heldBack; /**< The last bytes of a body that ends with the connection; they may be the mark. */
 };
 
 } // namespace bronzeswitch
--- a/libs/net/src/PassOn.cpp
+++ b/libs/net/src/PassOn.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t blockBytes = 16UL * 1024;
 constexpr Duration writeTimeout { 5000 };
 constexpr std::string_view reachedResponse = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr const char* markField = "Pass-On-Mark";
+constexpr const char* markScopeField = "Pass-On-Mark-Scope";
+constexpr const char* connectionScope = "connection";
 constexpr std::string_view unreachedResponse = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 struct PassedConnection {
@@ -47,7 +50,8 @@
         passed->server.expires_never();
         const auto [error, size] = co_await passed->server.async_read_some(asio::buffer(block), awaitResult);
         if (error == asio::error::eof) {
-            co_await passed->node->write(mark, monotonicNow() + writeTimeout);
+            if (!mark.empty())
+                co_await passed->node->write(mark, monotonicNow() + writeTimeout);
             passed->node->close();
             co_return;
         }
@@ -61,8 +65,26 @@
 
 } // namespace
 
-Task<uint64_t> passOn(std::shared_ptr<CallerConnection> node, asio::ip::tcp::endpoint server, std::string mark, TimePoint connectDeadline)
+std::string formatPassOnRequest(const PassOnRequest& request, const asio::ip::tcp::endpoint& node)
 {
+    HttpFields fields;
+    fields.set("Host", node.address().to_string());
+    fields.set(markField, request.mark);
+    if (request.isMarkFiltered)
+        fields.set(markScopeField, connectionScope);
+    return formatRequestHead("CONNECT", request.target, fields, 0);
+}
+
+PassOnRequest parsePassOnRequest(const FullHttpRequest& request)
+{
+    return { std::string(request.target()), fieldValue(request.base(), markField),
+        fieldValue(request.base(), markScopeField) == connectionScope };
+}
+
+Task<uint64_t> passOn(
+    std::shared_ptr<CallerConnection> node, asio::ip::tcp::endpoint server, const PassOnRequest& request, TimePoint connectDeadline)
+{
+    const auto mark = request.isMarkFiltered ? request.mark : std::string();
     const auto passed = std::make_shared<PassedConnection>(node, node->executor());
     passed->server.expires_at(connectDeadline);
     const auto [error] = co_await passed->server.async_connect(server, awaitResult);
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -1,7 +1,6 @@
 #include "SocketOptions.h"
 
 #include <array>
-#include <base/Hash.h>
 #include <base/HttpStatus.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -40,6 +39,7 @@
 
 UpstreamConnection::UpstreamConnection(Executor executor, asio::ip::tcp::endpoint endpoint)
     : m_stream(std::make_shared<TcpStream>(executor))
+    , m_reader(m_stream)
     , m_endpoint(std::move(endpoint))
     , m_buffer(maxHeadBytes + readBlockBytes)
 {
@@ -67,11 +67,9 @@
     if (!connected)
         co_return connected;
     auto& connection = **connected;
-    connection.m_endMark = randomId();
-    HttpFields fields;
-    fields.set("Host", node.address().to_string());
-    fields.set(passOnMarkField, connection.m_endMark);
-    const OutgoingRequest request { formatRequestHead("CONNECT", target, fields, 0), std::make_shared<const std::string>(), false };
+    const PassOnRequest passOn { std::move(target), EndMarkFilter::makeMark(), true };
+    connection.m_reader.expectMark(passOn.mark);
+    const OutgoingRequest request { formatPassOnRequest(passOn, node), std::make_shared<const std::string>(), false };
     auto head = co_await connection.exchange(request, deadline);
     if (!head)
         co_return tl::unexpected(head.error());
@@ -127,7 +125,7 @@
     for (int interim = 0; interim <= maxInterimResponses; ++interim) {
         resetParser();
         m_stream->expires_at(deadline);
-        const auto [error, size] = co_await http::async_read_header(*m_stream, m_buffer, *m_parser, awaitResult);
+        const auto [error, size] = co_await http::async_read_header(m_reader, m_buffer, *m_parser, awaitResult);
         if (error)
             co_return tl::unexpected(toError(error));
         m_lastProgress = monotonicNow();
@@ -155,27 +153,20 @@
 {
     std::array<char, readBlockBytes> block; // NOLINT: filled by the read.
     m_stream->expires_at(deadline);
-    const bool mayEndWithMark = isPassedOn() && endsWithConnection();
-    const auto before = body.size();
     while (!m_parser->is_done()) {
         m_parser->get().body().data = block.data();
         m_parser->get().body().size = block.size();
         m_parser->get().body().more = true;
-        auto [error, size] = co_await http::async_read_some(*m_stream, m_buffer, *m_parser, awaitResult);
+        auto [error, size] = co_await http::async_read_some(m_reader, m_buffer, *m_parser, awaitResult);
         const auto filled = block.size() - m_parser->get().body().size;
         body.append(block.data(), filled);
         if (filled)
             m_lastProgress = monotonicNow();
         if (error && error != http::error::need_buffer)
             co_return tl::unexpected(toError(error));
-        if (filled && !m_parser->is_done()) {
-            if (mayEndWithMark)
-                holdBackEnd(body, before);
+        if (filled && !m_parser->is_done())
             co_return true;
-        }
     }
-    if (mayEndWithMark && !removeEndMark(body, before))
-        co_return tl::unexpected(toError(asio::error::connection_reset));
     if (endsWithConnection() && co_await wasReset())
         co_return tl::unexpected(toError(asio::error::connection_reset));
     m_isComplete = true;
@@ -183,20 +174,6 @@
     co_return false;
 }
 
-void UpstreamConnection::holdBackEnd(std::string& body, std::size_t start)
-{
-    body.insert(start, std::exchange(m_heldBack, {}));
-    const auto size = std::min(m_endMark.size(), body.size() - start);
-    m_heldBack = body.substr(body.size() - size);
-    body.resize(body.size() - size);
-}
-
-bool UpstreamConnection::removeEndMark(std::string& body, std::size_t start)
-{
-    holdBackEnd(body, start);
-    return std::exchange(m_heldBack, {}) == m_endMark;
-}
-
 // A socket reports the reset of its connection once. If a write is pending, it gets the error, and a read sees an orderly end.
 Task<bool> UpstreamConnection::wasReset()
 {
