--- a/libs/gateway/include/gateway/CallerServer.h
+++ b/libs/gateway/include/gateway/CallerServer.h
@@ -28,8 +28,8 @@
 
     /**
      * Shuts down gracefully: marks the node as draining, goes on accepting connections until GatewayBounds::closeListenerAfter, then
-     * closes idle connections and waits for running requests. After GatewayBounds::lastDispatchAfter, requests that have not run are
-     * refused; after GatewayBounds::abandonRequestsAfter, those that still run are ended.
+     * closes idle connections and waits for running requests and for what is passed on for peers. After GatewayBounds::lastDispatchAfter,
+     * requests that have not run are refused; after GatewayBounds::abandonRequestsAfter, those that still run are ended.
      */
     Task<void> drain();
 
@@ -44,7 +44,10 @@
 
     void startConnection(const std::shared_ptr<CallerConnection>&);
 
-    /** Closes connections as they become idle, until none is left or the time is over. */
+    /** @return true while callers are connected or connections of peers are passed on. */
+    bool hasWork() const;
+
+    /** Closes connections as they become idle, until there is no more work or the time is over. */
     Task<void> closeIdleConnections(TimePoint until);
     void stopDispatching();
     void abandonRequests();
--- a/libs/gateway/include/gateway/UpstreamPaths.h
+++ b/libs/gateway/include/gateway/UpstreamPaths.h
@@ -45,6 +45,9 @@
     /** Passes a peer's connection on to an upstream. */
     Task<void> passOn(std::shared_ptr<CallerConnection>, PassOnRequest);
 
+    /** @return number of connections that are being passed on for peers. */
+    int passedOn() const { return m_passedOn; }
+
     /** Logs a change of isCutOff() and ends what waits on lost paths. Called periodically. */
     void tick();
 
--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -3,6 +3,7 @@
 
 #include <base/HttpStatus.h>
 #include <gateway/CallerServer.h>
+#include <gateway/UpstreamPaths.h>
 #include <net/Acceptor.h>
 
 namespace bronzeswitch {
@@ -153,16 +154,18 @@
     co_await closeIdleConnections(start + m_context.bounds.lastDispatchAfter);
     stopDispatching();
     co_await closeIdleConnections(start + m_context.bounds.abandonRequestsAfter);
-    if (m_connections.isEmpty())
+    if (!hasWork())
         co_return;
-    m_context.log.write(events::drainTimedOut, { { "connections", m_connections.size() } });
+    m_context.log.write(events::drainTimedOut, { { "connections", m_connections.size() }, { "passedOn", m_context.paths->passedOn() } });
     abandonRequests();
     co_await closeIdleConnections(monotonicNow() + finalResponseTime);
 }
 
+bool CallerServer::hasWork() const { return !m_connections.isEmpty() || m_context.paths->passedOn() > 0; }
+
 Task<void> CallerServer::closeIdleConnections(TimePoint until)
 {
-    while (!m_connections.isEmpty() && monotonicNow() < until) {
+    while (hasWork() && monotonicNow() < until) {
         for (const auto& connection : std::set(m_connections.connections())) {
             if (connection->isIdle())
                 connection->close();
