Pass no further connections on once a node is told to stop

A peer that asks a node for a connection within 3 s after that node's SIGTERM got one, and a response that lasts longer than the rest of the grace time broke off with the node (the same reports of LOST).

Cause: the node refused peers only once it dispatches nothing any more, as for its own callers; those have no other node to ask, peers do.

Evidence: the test got 200 in place of 503 before. A refusal costs the asking node one round trip, and it asks the next node at once; its list of nodes leaves out the one that drains as soon as a report says so.

--- a/libs/gateway/src/UpstreamPaths.cpp
+++ b/libs/gateway/src/UpstreamPaths.cpp
@@ -122,7 +122,7 @@
         return "enough connections are passed on";
     if (isLost(upstream->id))
         return "the path is lost";
-    return m_context.mayDispatch ? nullptr : "this node stops";
+    return m_context.isDraining ? "this node stops" : nullptr;
 }
 
 Task<void> UpstreamPaths::passOn(std::shared_ptr<CallerConnection> connection, PassOnRequest request)
