--- a/libs/gateway/src/CallerServer.cpp
+++ b/libs/gateway/src/CallerServer.cpp
@@ -166,10 +166,8 @@
 Task<void> CallerServer::closeIdleConnections(TimePoint until)
 {
     while (hasWork() && monotonicNow() < until) {
-        for (const auto& connection : std::set(m_connections.connections())) {
-            if (connection->isIdle())
-                connection->close();
-        }
+        for (const auto& connection : std::set(m_connections.connections()))
+            connection->closeIdle();
         co_await sleepFor(m_context.executor, drainPollInterval);
     }
 }
--- a/libs/net/include/net/CallerConnection.h
+++ b/libs/net/include/net/CallerConnection.h
@@ -3,6 +3,7 @@
 #include <net/Async.h>
 #include <net/RequestReader.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <functional>
@@ -77,7 +78,10 @@
     /** Sends bytes as far as that is possible at once, and closes the connection. */
     void closeWith(std::string_view);
 
-    /** Closes the connection. A task that waits for it sees an error and ends. */
+    /** Ends the wait for a request, so that the connection is closed. A request of which bytes have arrived is still handed over. */
+    void closeIdle();
+
+    /** Closes the connection. A task that waits for it sees an error and ends; a request that has arrived is not handed over. */
     void close();
 
     /** Closes the connection by a TCP reset, so that the caller can't take an unfinished response for a complete one. */
@@ -100,6 +104,9 @@
     /** Waits for the first bytes of a request. @return false if the connection ended or was idle for too long. */
     Task<bool> readFirstBytes(Duration idleTimeout);
 
+    /** Reads what has arrived, without waiting. @return number of bytes. */
+    std::size_t readArrived(asio::mutable_buffer);
+
     /** Reads a request of which the first bytes have arrived. */
     Task<tl::expected<void, ReadError>> readWhole(RequestReader&, const CallerLimits&, const MemoryObserver&);
 
@@ -116,6 +123,8 @@
     TimePoint m_stateSince;
     bool m_isHeadMethod = false;
     bool m_isReadingGivenUp = false;
+    bool m_isClosingIdle = false; /**< No further request is waited for. */
+    bool m_isClosed = false;
 };
 
 } // namespace bronzeswitch
--- a/libs/net/src/CallerConnection.cpp
+++ b/libs/net/src/CallerConnection.cpp
@@ -45,7 +45,7 @@
     bool isOpen = true;
     if (m_buffer.size() == 0)
         isOpen = co_await readFirstBytes(limits.idleTimeout);
-    if (!isOpen)
+    if (!isOpen || m_isClosed)
         co_return tl::unexpected(ReadError::Closed);
     setState(State::Reading);
     m_isHeadMethod = buffered().starts_with("HEAD ");
@@ -53,6 +53,8 @@
     const auto result = co_await readWhole(reader, limits, onMemory);
     m_isHeadMethod = m_isHeadMethod || reader.isHeadMethod();
     setState(State::Busy);
+    if (m_isClosed)
+        co_return tl::unexpected(ReadError::Closed);
     if (!result)
         co_return tl::unexpected(result.error());
     co_return reader.release();
@@ -62,11 +64,18 @@
 {
     m_buffer = {}; // Frees what a larger request has left.
     m_stream.expires_after(idleTimeout);
-    const auto [error, size] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), awaitResult);
-    if (error)
-        co_return false;
+    const auto block = m_buffer.prepare(firstReadBytes);
+    auto [error, size] = co_await m_stream.async_read_some(block, awaitResult);
+    if (error && m_isClosingIdle)
+        size = readArrived(block);
     m_buffer.commit(size);
-    co_return true;
+    co_return size > 0;
+}
+
+std::size_t CallerConnection::readArrived(asio::mutable_buffer block)
+{
+    const auto size = ::recv(m_stream.socket().native_handle(), block.data(), block.size(), MSG_DONTWAIT);
+    return size > 0 ? static_cast<std::size_t>(size) : 0;
 }
 
 Task<tl::expected<void, ReadError>> CallerConnection::readWhole(
@@ -182,8 +191,17 @@
 
 bool CallerConnection::hasDisconnected() const { return m_hasDisconnected; }
 
+void CallerConnection::closeIdle()
+{
+    if (m_state != State::Idle)
+        return;
+    m_isClosingIdle = true;
+    m_stream.cancel();
+}
+
 void CallerConnection::close()
 {
+    m_isClosed = true;
     boost::system::error_code error;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, error);
     m_stream.close();
@@ -197,6 +215,7 @@
 
 void CallerConnection::reset()
 {
+    m_isClosed = true;
     boost::system::error_code error;
     m_stream.socket().set_option(asio::socket_base::linger(true, 0), error);
     m_stream.close();
