Do not end requests for a lost path while upstreams' bytes arrive (LOST)

At a node that was flooded while most others were stopped as planned, callers got 502 for requests that had been accepted and were running, sign-offs among them; a stream in the middle would have been reset.

Cause: connects that take too long, at three upstreams within 2 s, count as a path that is lost, and what has been silent for 500 ms is then ended. On a full link connects are slow as well. Bytes that went on arriving from upstreams counted for nothing, only heads of responses did.

The test of PathMonitor does not compile before, since the judge did not know of bytes.

A connect that times out is now evidence only if no bytes of any upstream have come since. Refused ones count as before, as open connections may live on then.

--- a/libs/gateway/include/gateway/PathMonitor.h
+++ b/libs/gateway/include/gateway/PathMonitor.h
@@ -2,6 +2,7 @@
 
 #include <base/TimerService.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -26,7 +27,8 @@
  * Load pattern: a node loses the path to all upstreams, or to some, for seconds, while other nodes and the upstreams are sound. New
  * connections hang or are reset, open ones hang, break off or live on. If such failures were attributed to the upstreams, all nodes
  * would avoid them. That another node reaches the upstream proves that the path is lost. Without such a proof, several upstreams that fail
- * at the same time, while none is reached, show it.
+ * at the same time, while none is reached, show it. Connections also hang where this node's link is full; bytes of other upstreams that
+ * arrive after them show that.
  *
  *     if (monitor.shouldConnectDirectly(upstream, now))
  *         monitor.onDirect(upstream, ConnectResult::Connected, now);
@@ -50,6 +52,9 @@
     /** Records that an upstream has responded over this node's own path. */
     void onResponse(TimePoint now) { m_lastReached = now; }
 
+    /** Records that bytes of an upstream have arrived over this node's own path, at a time that may be past. */
+    void onReceived(TimePoint at) { m_lastReceived = std::max(m_lastReceived, at); }
+
     /** Records that an open connection broke off. @return true if the path was lost rather than the upstream. */
     bool onBroken(const std::string& upstream, TimePoint now);
 
@@ -69,13 +74,20 @@
     void expire(TimePoint now);
 
 private:
-    std::size_t countSince(const std::map<std::string, TimePoint>& events, TimePoint since) const;
+    struct Failure {
+        TimePoint at {};
+        ConnectResult result = ConnectResult::TimedOut;
+    };
+
+    /** @return true if nothing has come from upstreams since a failure that would show a slow path rather than a lost one. */
+    bool isEvidence(const Failure&, TimePoint now) const;
 
     PathPolicy m_policy;
     std::map<std::string, TimePoint> m_retestAt; /**< Of upstreams without an own path: when it is tested again. */
-    std::map<std::string, TimePoint> m_failed; /**< Last failed attempt at a connection, by upstream. */
+    std::map<std::string, Failure> m_failed; /**< Last failed attempt at a connection, by upstream. */
     std::map<std::string, TimePoint> m_broken; /**< Last connection that broke off, by upstream. */
     TimePoint m_lastReached {}; /**< When a connection over an own path was opened or carried a response. */
+    TimePoint m_lastReceived {}; /**< When bytes of a response last arrived over an own path. */
     TimePoint m_lastRefused {}; /**< When a connection over an own path was refused. */
     TimePoint m_nextTest {}; /**< While this node is cut off. */
 };
--- a/libs/gateway/src/PathMonitor.cpp
+++ b/libs/gateway/src/PathMonitor.cpp
@@ -3,26 +3,29 @@
 
 namespace bronzeswitch {
 
-std::size_t PathMonitor::countSince(const std::map<std::string, TimePoint>& events, TimePoint since) const
+bool PathMonitor::isEvidence(const Failure& failure, TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [&](const auto& event) { return event.second > since; }));
+    // Open connections may live on while new ones are refused.
+    const auto lastSign = failure.result == ConnectResult::Refused ? m_lastReached : std::max(m_lastReached, m_lastReceived);
+    return failure.at > std::max(lastSign, now - m_policy.evidenceTime);
 }
 
 bool PathMonitor::isCutOff(TimePoint now) const
 {
-    return countSince(m_failed, std::max(m_lastReached, now - m_policy.evidenceTime)) >= m_policy.minUpstreams;
+    const auto count = std::count_if(m_failed.begin(), m_failed.end(), [&](const auto& item) { return isEvidence(item.second, now); });
+    return static_cast<std::size_t>(count) >= m_policy.minUpstreams;
 }
 
 bool PathMonitor::isLost(const std::string& upstream, TimePoint now) const
 {
     const auto failed = m_failed.find(upstream);
-    const bool isEvidenceFresh = failed != m_failed.end() && now - failed->second < m_policy.evidenceTime;
+    const bool isEvidenceFresh = failed != m_failed.end() && now - failed->second.at < m_policy.evidenceTime;
     return (m_retestAt.contains(upstream) && isEvidenceFresh) || isCutOff(now);
 }
 
 void PathMonitor::expire(TimePoint now)
 {
-    std::erase_if(m_failed, [&](const auto& event) { return now - event.second >= m_policy.evidenceTime; });
+    std::erase_if(m_failed, [&](const auto& item) { return now - item.second.at >= m_policy.evidenceTime; });
     std::erase_if(m_retestAt, [&](const auto& retest) { return !m_failed.contains(retest.first); });
 }
 
@@ -48,7 +51,7 @@
     if (result == ConnectResult::Refused)
         m_lastRefused = now;
     if (result != ConnectResult::Connected) {
-        m_failed[upstream] = now;
+        m_failed[upstream] = { now, result };
         return;
     }
     m_lastReached = now;
@@ -58,7 +61,7 @@
 
 void PathMonitor::onReachedByOther(const std::string& upstream, TimePoint now)
 {
-    m_failed[upstream] = now; // Also while this node does not try its own path, so that it stays cut off until a test succeeds.
+    m_failed[upstream].at = now; // Also while this node does not try its own path, so that it stays cut off until a test succeeds.
     m_retestAt.try_emplace(upstream, now + m_policy.retestInterval);
 }
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -121,6 +121,12 @@
         m_activeConnection->abort();
 }
 
+TimePoint RequestTask::lastReceivedDirectly() const
+{
+    const bool isDirect = m_activeConnection && !m_activeConnection->isPassedOn();
+    return isDirect ? m_activeConnection->lastReceived() : TimePoint {};
+}
+
 void RequestTask::abandon()
 {
     m_isAbandoned = true;
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -37,6 +37,9 @@
     /** Ends a dispatch over a path that this node has lost, unless bytes have arrived a short time ago. */
     void endSilentDispatch();
 
+    /** @return when bytes of its upstream last arrived over this node's own path; the epoch if none have. */
+    TimePoint lastReceivedDirectly() const;
+
     /** Ends the request although its upstream has not responded completely: the node stops now. */
     void abandon();
 
--- a/libs/gateway/src/UpstreamPaths.cpp
+++ b/libs/gateway/src/UpstreamPaths.cpp
@@ -147,6 +147,8 @@
 void UpstreamPaths::tick()
 {
     const auto now = monotonicNow();
+    for (const auto* request : *m_context.activeRequests)
+        m_monitor.onReceived(request->lastReceivedDirectly());
     m_monitor.expire(now);
     const bool isCut = isCutOff();
     if (std::exchange(m_wasCutOff, isCut) != isCut)
--- a/libs/gateway/tests/PathMonitorTests.cpp
+++ b/libs/gateway/tests/PathMonitorTests.cpp
@@ -99,3 +99,35 @@
     monitor.expire(start + policy.evidenceTime);
     CHECK(monitor.shouldConnectDirectly("e1", start + policy.evidenceTime));
 }
+
+// LOST: a node whose link was full took slow connects for a lost path, and ended requests that upstreams were working on.
+TEST_CASE("connects that take too long do not cut a node off to which upstreams' bytes arrive")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3", "e4" })
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    CHECK(monitor.isCutOff(start));
+    monitor.onReceived(start + Duration(1));
+    CHECK_FALSE(monitor.isCutOff(start + Duration(2)));
+    CHECK_FALSE(monitor.isSilent(start + Duration(2)));
+    CHECK_FALSE(monitor.isLost("e9", start + Duration(2)));
+}
+
+TEST_CASE("connects that are refused cut a node off although bytes arrive on connections from before")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3" })
+        monitor.onDirect(upstream, ConnectResult::Refused, start);
+    monitor.onReceived(start + Duration(1));
+    CHECK(monitor.isCutOff(start + Duration(2)));
+}
+
+TEST_CASE("bytes that arrived before connects failed do not speak against a lost path")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3" })
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    monitor.onReceived(start - Duration(1));
+    CHECK(monitor.isCutOff(start));
+    CHECK(monitor.isSilent(start));
+}
--- a/libs/net/include/net/UpstreamConnection.h
+++ b/libs/net/include/net/UpstreamConnection.h
@@ -91,6 +91,9 @@
     /** @return when bytes last arrived, the last request was sent or the connection was opened. */
     TimePoint lastProgress() const { return m_lastProgress; }
 
+    /** @return when bytes of a response last arrived. */
+    TimePoint lastReceived() const { return m_lastReceived; }
+
     const asio::ip::tcp::endpoint& endpoint() const { return m_endpoint; }
 
     /** @return when the last response ended. */
@@ -118,6 +121,7 @@
     Task<bool> wasReset();
     void resetParser();
     void updateIdleTimeout(const ResponseHead&);
+    void recordReceived();
 
     std::shared_ptr<TcpStream> m_stream; /**< Shared with a pending write, which may outlive this object. */
     PassedStream m_reader; /**< Reads from m_stream. */
@@ -131,6 +135,7 @@
     Duration m_idleTimeout { 0 };
     TimePoint m_lastUsed {};
     TimePoint m_lastProgress {};
+    TimePoint m_lastReceived {};
 };
 
 } // namespace bronzeswitch
--- a/libs/net/src/UpstreamConnection.cpp
+++ b/libs/net/src/UpstreamConnection.cpp
@@ -128,7 +128,7 @@
         const auto [error, size] = co_await http::async_read_header(m_reader, m_buffer, *m_parser, awaitResult);
         if (error)
             co_return tl::unexpected(toError(error));
-        m_lastProgress = monotonicNow();
+        recordReceived();
         const auto& message = m_parser->get();
         const auto status = static_cast<int>(message.result_int());
         if (isInterim(status))
@@ -142,6 +142,12 @@
     co_return fail(ErrorCode::Protocol, "too many interim responses");
 }
 
+void UpstreamConnection::recordReceived()
+{
+    m_lastReceived = monotonicNow();
+    m_lastProgress = m_lastReceived;
+}
+
 void UpstreamConnection::updateIdleTimeout(const ResponseHead& head)
 {
     const auto timeout = parseKeepAliveTimeout(fieldValue(head.fields, "Keep-Alive"));
@@ -161,7 +167,7 @@
         const auto filled = block.size() - m_parser->get().body().size;
         body.append(block.data(), filled);
         if (filled)
-            m_lastProgress = monotonicNow();
+            recordReceived();
         if (error && error != http::error::need_buffer)
             co_return tl::unexpected(toError(error));
         if (filled && !m_parser->is_done())
