--- a/libs/gateway/src/Dispatch.h
+++ b/libs/gateway/src/Dispatch.h
@@ -45,6 +45,7 @@
     std::string passedOnBy; /**< Address of the node that passes the connection on; empty for this node's own path. */
     bool isPathLost = false; /**< This node has lost the path to the upstream, so that the end shows nothing about the upstream. */
     bool isLost = false; /**< The upstream broke the connection off. */
+    bool isLostWithOthers = false; /**< Connections to several upstreams broke off together: all of these are lost, or only the path is. */
     std::string failure; /**< Why there is no usable response, for the decision log. */
 };
 
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -390,6 +390,7 @@
     else
         current.isPathLost = isBroken ? m_context.paths->onBroken(current.upstream.id) : m_context.paths->isLost(current.upstream.id);
     current.isLost = isBroken && !current.isPathLost;
+    current.isLostWithOthers = isBroken && current.isPathLost && current.passedOnBy.empty();
     current.isEndedByNode = m_isAbandoned || error.code == ErrorCode::Exhausted;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
 }
@@ -550,8 +551,12 @@
 {
     if (outcome == Outcome::Completed)
         m_context.prompts.onAnswered(m_resolved.metadata.sharedParts);
-    else if (current.isLost && current.eventCount < eventsOfAnswer)
+    else if (current.eventCount >= eventsOfAnswer)
+        return;
+    else if (current.isLost)
         m_context.prompts.onLost(current.upstream.id, m_resolved.metadata.sharedParts);
+    else if (current.isLostWithOthers)
+        m_context.prompts.onLostWithOthers(current.upstream.id, m_resolved.metadata.sharedParts);
 }
 
 void RequestTask::releaseSlot(Dispatch& current, Outcome outcome)
