End silent requests only while another node proves that the path is lost (LOST)

Cause: connects that hang and silence are what a full link looks like, too.

Open connections now count as silent only while another node opens connections within 100 ms. Over a full link its answer is late as well; on a lost path it comes in some milliseconds, with the first connect that hangs, so nothing is found later than before.

The test "open connections count as silent only where new ones hang" asked for silence without such a proof: the proof has been added to it, and it checks that there is no silence before. A new test has slow and quick proofs.

--- a/libs/gateway/include/gateway/PathMonitor.h
+++ b/libs/gateway/include/gateway/PathMonitor.h
@@ -13,6 +13,7 @@
     Duration retestInterval { 1000 }; /**< After this time, a connection to an upstream without an own path is tried directly again. */
     Duration evidenceTime { 2000 }; /**< A failure counts as evidence for this long. */
     std::size_t minUpstreams = 3; /**< So many upstreams that fail at the same time show a lost path rather than failing upstreams. */
+    Duration quickReach { 100 }; /**< Another node that reaches an upstream so soon shows that this node's link is not full. */
     Duration burstTime { 200 }; /**< Connections to several upstreams that break off within this time were lost with the path. */
 
     bool operator==(const PathPolicy&) const = default;
@@ -46,8 +47,8 @@
     /** Records the attempt to open a connection to an upstream over this node's own path. */
     void onDirect(const std::string& upstream, ConnectResult, TimePoint now);
 
-    /** Records that another node has opened the connection that failed over this node's own path. */
-    void onReachedByOther(const std::string& upstream, TimePoint now);
+    /** Records that another node has opened the connection that failed over this node's own path. @param taken time that it took. */
+    void onReachedByOther(const std::string& upstream, Duration taken, TimePoint now);
 
     /** Records that an upstream has responded over this node's own path. */
     void onResponse(TimePoint now) { m_lastReached = now; }
@@ -69,9 +70,9 @@
 
     /**
      * @return true if this node is cut off by a path on which connections hang, so that open ones hang as well. Where new connections are
-     * refused, open ones may live on.
+     * refused, open ones may live on. Another node's quick connection proves that the path is lost, and this node's link not just full.
      */
-    bool isSilent(TimePoint now) const { return isCutOff(now) && now - m_lastRefused >= m_policy.evidenceTime; }
+    bool isSilent(TimePoint now) const;
 
     /** Forgets old evidence. Called periodically. */
     void expire(TimePoint now);
@@ -91,6 +92,7 @@
     std::map<std::string, TimePoint> m_broken; /**< Last connection that broke off, by upstream. */
     TimePoint m_lastReached {}; /**< When a connection over an own path was opened or carried a response. */
     TimePoint m_lastReceived {}; /**< When bytes of a response last arrived over an own path. */
+    TimePoint m_lastProof {}; /**< When another node last reached an upstream quickly. */
     TimePoint m_lastRefused {}; /**< When a connection over an own path was refused. */
     TimePoint m_nextTest {}; /**< While this node is cut off. */
 };
--- a/libs/gateway/src/PathMonitor.cpp
+++ b/libs/gateway/src/PathMonitor.cpp
@@ -59,8 +59,16 @@
     m_failed.erase(upstream);
 }
 
-void PathMonitor::onReachedByOther(const std::string& upstream, TimePoint now)
+bool PathMonitor::isSilent(TimePoint now) const
 {
+    const bool isProven = now - m_lastProof < m_policy.evidenceTime;
+    return isProven && isCutOff(now) && now - m_lastRefused >= m_policy.evidenceTime;
+}
+
+void PathMonitor::onReachedByOther(const std::string& upstream, Duration taken, TimePoint now)
+{
+    if (taken <= m_policy.quickReach)
+        m_lastProof = now;
     m_failed[upstream].at = now; // Also while this node does not try its own path, so that it stays cut off until a test succeeds.
     m_retestAt.try_emplace(upstream, now + m_policy.retestInterval);
 }
--- a/libs/gateway/src/UpstreamPaths.cpp
+++ b/libs/gateway/src/UpstreamPaths.cpp
@@ -87,12 +87,13 @@
     const auto endpoint = parseEndpoint(node);
     if (!endpoint || !isToken(upstream.id))
         co_return fail(ErrorCode::Unavailable, "no path by another node");
+    const auto start = monotonicNow();
     auto connection = co_await UpstreamConnection::connectThrough(
-        m_context.executor, *endpoint, passOnPath + upstream.id, std::min(deadline, monotonicNow() + passOnTimeout));
+        m_context.executor, *endpoint, passOnPath + upstream.id, std::min(deadline, start + passOnTimeout));
     const auto now = monotonicNow();
     if (connection) {
         m_context.metrics.countIncident("path-by-node");
-        m_monitor.onReachedByOther(upstream.id, now);
+        m_monitor.onReachedByOther(upstream.id, std::chrono::ceil<Duration>(now - start), now);
         co_return UpstreamPath { { std::move(*connection), true }, node };
     }
     if (connection.error().code != ErrorCode::NotFound)
--- a/libs/gateway/tests/PathMonitorTests.cpp
+++ b/libs/gateway/tests/PathMonitorTests.cpp
@@ -7,6 +7,7 @@
 
 const TimePoint start = TimePoint() + std::chrono::hours(1);
 const PathPolicy policy;
+const Duration quick = policy.quickReach;
 
 } // namespace
 
@@ -16,7 +17,7 @@
     CHECK(monitor.shouldConnectDirectly("e1", start));
     monitor.onDirect("e1", ConnectResult::TimedOut, start);
     CHECK_FALSE(monitor.isLost("e1", start));
-    monitor.onReachedByOther("e1", start);
+    monitor.onReachedByOther("e1", quick, start);
     CHECK(monitor.isLost("e1", start));
     CHECK_FALSE(monitor.shouldConnectDirectly("e1", start + policy.retestInterval / 2));
     CHECK(monitor.shouldConnectDirectly("e2", start));
@@ -83,6 +84,8 @@
     PathMonitor monitor(policy);
     for (const char* upstream : { "e1", "e2", "e3" })
         monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    CHECK_FALSE(monitor.isSilent(start));
+    monitor.onReachedByOther("e1", quick, start);
     CHECK(monitor.isSilent(start));
     monitor.onDirect("e4", ConnectResult::Refused, start);
     CHECK(monitor.isCutOff(start));
@@ -93,7 +96,7 @@
 {
     PathMonitor monitor(policy);
     monitor.onDirect("e1", ConnectResult::TimedOut, start);
-    monitor.onReachedByOther("e1", start);
+    monitor.onReachedByOther("e1", quick, start);
     CHECK(monitor.isLost("e1", start));
     CHECK_FALSE(monitor.isLost("e1", start + policy.evidenceTime));
     monitor.expire(start + policy.evidenceTime);
@@ -106,7 +109,9 @@
     PathMonitor monitor(policy);
     for (const char* upstream : { "e1", "e2", "e3", "e4" })
         monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    monitor.onReachedByOther("e1", quick, start);
     CHECK(monitor.isCutOff(start));
+    CHECK(monitor.isSilent(start));
     monitor.onReceived(start + Duration(1));
     CHECK_FALSE(monitor.isCutOff(start + Duration(2)));
     CHECK_FALSE(monitor.isSilent(start + Duration(2)));
@@ -127,7 +132,27 @@
     PathMonitor monitor(policy);
     for (const char* upstream : { "e1", "e2", "e3" })
         monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    monitor.onReachedByOther("e1", quick, start);
     monitor.onReceived(start - Duration(1));
     CHECK(monitor.isCutOff(start));
     CHECK(monitor.isSilent(start));
 }
+
+// LOST: a node whose link was full ended requests that upstreams were working on; others reach upstreams slowly over such a link, too.
+TEST_CASE("open connections count as silent only if another node reaches an upstream quickly")
+{
+    PathMonitor monitor(policy);
+    for (const char* upstream : { "e1", "e2", "e3" })
+        monitor.onDirect(upstream, ConnectResult::TimedOut, start);
+    monitor.onReachedByOther("e1", quick + Duration(1), start);
+    CHECK(monitor.isCutOff(start));
+    CHECK_FALSE(monitor.isSilent(start));
+    monitor.onReachedByOther("e2", quick, start);
+    CHECK(monitor.isSilent(start));
+    const auto later = start + policy.evidenceTime;
+    monitor.onReachedByOther("e1", quick + Duration(1), later);
+    monitor.onReachedByOther("e2", quick + Duration(1), later);
+    monitor.onReachedByOther("e3", quick + Duration(1), later);
+    CHECK(monitor.isCutOff(later));
+    CHECK_FALSE(monitor.isSilent(later));
+}
