Count responses that break off against the version of their upstream (EXPOSURE)

Cause: such a response ends as "may have run", which was no observation of the version, so the judge saw the sound ones alone. Crashes were to be left out by that.

A response that breaks off now counts as a failure if its upstream still accepts connections 200 ms later.

--- a/libs/gateway/include/gateway/GatewayContext.h
+++ b/libs/gateway/include/gateway/GatewayContext.h
@@ -26,6 +26,7 @@
 
 namespace bronzeswitch {
 
+class BrokenResponses;
 class RequestTask;
 class UpstreamPaths;
 
@@ -92,6 +93,7 @@
     std::shared_ptr<RequestMemory> requestMemory = std::make_shared<RequestMemory>(RequestMemory::capacityFor(0));
     LimitLog limits { log, metrics };
     UpstreamPaths* paths = nullptr; /**< Connects to upstreams. */
+    BrokenResponses* brokenResponses = nullptr; /**< Counts responses that upstreams break off against their versions. */
     /** Sends a message to another node. */
     std::function<void(const std::string& address, const Message&)> sendToNode {};
 
--- a/libs/gateway/include/gateway/GatewayNode.h
+++ b/libs/gateway/include/gateway/GatewayNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gateway/AdmissionMonitor.h>
+#include <gateway/BrokenResponses.h>
 #include <gateway/CallerServer.h>
 #include <gateway/GatewayContext.h>
 #include <gateway/NodeDiscovery.h>
@@ -222,6 +223,7 @@
     NodeDiscovery m_discovery;
     StateFetcher m_stateFetcher;
     UpstreamPaths m_paths;
+    BrokenResponses m_brokenResponses;
     StateCallbacks m_stateCallbacks;
     std::unique_ptr<CallerServer> m_callerServer;
     std::unique_ptr<SimpleHttpServer> m_readinessServer;
--- a/libs/gateway/include/gateway/RolloutController.h
+++ b/libs/gateway/include/gateway/RolloutController.h
@@ -91,6 +91,9 @@
     /** @return the orders whose final phase has not been recorded yet. */
     std::vector<RolloutOrder> unfinishedOrders() const;
 
+    /** @return true if a version of the service is on trial or gets all requests, and the rollout may still be taken back. */
+    bool isUndecided(const std::string& service) const;
+
     /** @return what should be recorded now. @param mayWrite returns whether this node records a service; after a delay, any node does. */
     std::vector<RolloutStatus> dueRecords(TimePoint now, const ServicePredicate& mayWrite) const;
 
--- a/libs/gateway/src/Dispatch.cpp
+++ b/libs/gateway/src/Dispatch.cpp
@@ -62,6 +62,12 @@
     return observation;
 }
 
+bool isResponseBroken(const Dispatch& dispatch)
+{
+    const bool mayHaveBeenIdle = dispatch.isConnectionUsed && !hasFirstByte(dispatch);
+    return dispatch.isLost && !dispatch.isEndedByNode && !mayHaveBeenIdle;
+}
+
 void describe(nlohmann::json& fields, const Dispatch& dispatch, TimePoint arrivedAt)
 {
     fields["upstream"] = dispatch.grant.upstream;
--- a/libs/gateway/src/Dispatch.h
+++ b/libs/gateway/src/Dispatch.h
@@ -60,6 +60,12 @@
 std::optional<VersionObservation> makeVersionObservation(
     const Dispatch&, Dispatch::Outcome, bool isDeadlineOver, double betweenTokensMs, TimePoint now);
 
+/**
+ * @return true if the upstream broke its response off. A kept connection that ends before the response has begun may have been closed as an
+ *     idle one.
+ */
+bool isResponseBroken(const Dispatch&);
+
 /** Adds a dispatch to the fields of an event of the decision log. @param arrivedAt arrival of the request. */
 void describe(nlohmann::json& fields, const Dispatch&, TimePoint arrivedAt);
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -79,9 +79,11 @@
     , m_discovery(m_peers, m_log)
     , m_stateFetcher(m_context, m_peers, m_options.dataCentre)
     , m_paths(m_context, m_peers, m_options.dataCentre)
+    , m_brokenResponses(m_context)
     , m_incarnation(unixMilliseconds())
 {
     m_context.paths = &m_paths;
+    m_context.brokenResponses = &m_brokenResponses;
     m_context.sendToNode = [this](const std::string& address, const Message& message) { send(address, message); };
     m_context.bodyMemory = std::make_shared<BodyMemory>(BodyMemory::capacityFor(m_options.memoryBytes));
     m_context.requestMemory = std::make_shared<RequestMemory>(RequestMemory::capacityFor(m_options.memoryBytes));
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -8,6 +8,7 @@
 #include <base/HttpStatus.h>
 #include <boost/beast/core/string.hpp>
 #include <cmath>
+#include <gateway/BrokenResponses.h>
 #include <gateway/CallerFingerprint.h>
 #include <gateway/UpstreamPaths.h>
 
@@ -573,6 +574,8 @@
     const double betweenTokensMs = slotRelease.betweenTokensUs / millisecondsPerSecond;
     if (const auto observation = makeVersionObservation(current, outcome, now >= m_deadline, betweenTokensMs, now))
         m_context.rollouts.onResponse(m_service, m_resolved.route->name, current.upstream.version, *observation);
+    else if (isResponseBroken(current))
+        m_context.brokenResponses->onBroken(m_service, m_resolved.route->name, current.upstream);
 }
 
 Task<bool> RequestTask::respondToFailure(Outcome worstOutcome)
--- a/libs/gateway/src/RolloutController.cpp
+++ b/libs/gateway/src/RolloutController.cpp
@@ -255,6 +255,12 @@
     return orders;
 }
 
+bool RolloutController::isUndecided(const std::string& service) const
+{
+    const auto found = m_states.find(service);
+    return found != m_states.end() && !isFinal(found->second.rollout.phase());
+}
+
 // Returns the phase that is missing in the record: the start, or the final phase once it is certain.
 std::optional<RolloutPhase> RolloutController::duePhase(const State& state, TimePoint now) const
 {
