--- a/libs/net/tests/PassedConnectionTests.cpp
+++ b/libs/net/tests/PassedConnectionTests.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration callTimeout { 15000 };
 constexpr Duration pauseBetweenReads { 2 };
-constexpr const char* signedHead = "HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n";
+constexpr const char* signedHead = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
 
 // How the node between ends the connection.
 enum class End {
@@ -37,7 +37,7 @@
     const auto length = "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n";
     const std::string chunked = std::string(signedHead) + "Transfer-Encoding: chunked\r\n\r\n";
     const auto chunks = formatChunk(text) + formatChunk("and more");
-    const std::string emptyFields = "X-Instance-Signature: s\r\n\r\n";
+    const std::string emptyFields = "X-Signature: s\r\n\r\n";
     return {
         { "stated length", signedHead + length + text, text },
         { "chunks", chunked + chunks + "0\r\n\r\n", text + "and more" },
