Name what the filter of passed connections does, and drop an accessor without a user

Comments spoke of nodes that ask and tell; EndMarkFilter::mark() had no user.

Conclusion: comments and one unused accessor; the program does the same.

--- a/libs/net/include/net/EndMarkFilter.h
+++ b/libs/net/include/net/EndMarkFilter.h
@@ -6,8 +6,7 @@
 namespace bronzeswitch {
 
 /**
- * Tells the bytes of a server from the mark that the node between writes behind the last one if the server has ended its connection
- * orderly.
+ * Removes the mark that a node which passes a connection on writes behind the last byte if the server has ended its connection orderly.
  *
  * Load pattern: servers and nodes end in the middle of responses of any framing, and reads end anywhere. Only as many of the last bytes are
  * held back as may be the beginning of the mark.
@@ -26,8 +25,6 @@
     /** @return a random mark. */
     static std::string makeMark();
 
-    const std::string& mark() const { return m_mark; }
-
     /** Takes the next bytes of the connection. @return the bytes that are known to be the server's. */
     std::string put(std::string_view bytes);
 
--- a/libs/net/include/net/PassOn.h
+++ b/libs/net/include/net/PassOn.h
@@ -8,11 +8,11 @@
 
 namespace bronzeswitch {
 
-/** What a node asks another one that is to pass a connection on: a CONNECT request. */
+/** A CONNECT request of a node to another one, which passes the connection on to a server. */
 struct PassOnRequest {
     std::string target; /**< Names the server. */
     std::string mark; /**< Written behind the last byte if the server ends its connection orderly; empty if the node expects none. */
-    bool isMarkFiltered = false; /**< The node tells the mark from the server's bytes whatever the framing of the response. */
+    bool isMarkFiltered = false; /**< The requesting node removes the mark from responses of any framing. */
 
     bool operator==(const PassOnRequest&) const = default;
 };
@@ -20,7 +20,7 @@
 /** @return the head of the request to a node. */
 std::string formatPassOnRequest(const PassOnRequest&, const asio::ip::tcp::endpoint& node);
 
-/** @return what a CONNECT request asks for. */
+/** @return the content of a CONNECT request. */
 PassOnRequest parsePassOnRequest(const FullHttpRequest&);
 
 /**
--- a/libs/net/include/net/PassedStream.h
+++ b/libs/net/include/net/PassedStream.h
@@ -43,7 +43,7 @@
     /** @return true if another node passes the connection on. */
     bool isPassedOn() const { return m_filter.has_value(); }
 
-    executor_type get_executor() { return m_stream->get_executor(); } // NOLINT: the name that Beast asks for.
+    executor_type get_executor() { return m_stream->get_executor(); } // NOLINT: the name is that of Beast's AsyncReadStream.
 
     /** Reads some bytes. Completes with connection_reset if the connection ended without the mark that was expected. */
     template <typename Buffers, typename Token> auto async_read_some(const Buffers& buffers, Token&& token) // NOLINT: as above.
