Decide on losses of a burst without a clock, and move verdicts out of RequestTask

UndecidedLosses (sched) decides with the times that it is given; its four cases drive the clock and check both time limits at their edges and the bound in number. The guard's case that bytes on the way show nothing moves there, where it is checked to the millisecond; the guard's own two cases stay and check what it does with the result, without a limit in real time. recordBreak and reportPromptResult stand beside Dispatch, whose fields they read and write.

--- a/libs/gateway/include/gateway/PathMonitor.h
+++ b/libs/gateway/include/gateway/PathMonitor.h
@@ -56,8 +56,8 @@
     /** Records that bytes of an upstream have arrived over this node's own path, at a time that may be past. */
     void onReceived(TimePoint at) { m_lastReceived = std::max(m_lastReceived, at); }
 
-    /** @return true if an upstream was reached, or bytes of one arrived, over this node's own path since a time. */
-    bool hasReachedSince(TimePoint since) const { return std::max(m_lastReached, m_lastReceived) > since; }
+    /** @return when an upstream was last reached, or bytes of one last arrived, over this node's own path. */
+    TimePoint lastReached() const { return std::max(m_lastReached, m_lastReceived); }
 
     /** Records that an open connection broke off. @return true if the path was lost rather than the upstream. */
     bool onBroken(const std::string& upstream, TimePoint now);
--- a/libs/gateway/include/gateway/PromptGuard.h
+++ b/libs/gateway/include/gateway/PromptGuard.h
@@ -3,8 +3,8 @@
 #include <gateway/DecisionLog.h>
 #include <protocol/Messages.h>
 #include <sched/PromptQuarantine.h>
+#include <sched/UndecidedLosses.h>
 
-#include <deque>
 #include <functional>
 #include <map>
 
@@ -26,8 +26,7 @@
         std::function<void(const Message&)> broadcast; /**< Sends to all known nodes. */
         std::function<void(const std::string& node, const Message&)> send;
         std::function<void()> onChange; /**< Called when the quarantines have changed, so that the next report comes soon. */
-        std::function<bool(TimePoint)>
-            hasReachedSince; /**< @return true if an upstream was reached over this node's own path since then. */
+        std::function<TimePoint()> lastReached; /**< @return when an upstream was last reached over this node's own path. */
         std::function<bool()> isDelegate; /**< @return true if this node knows all others, so that it can judge for them. */
     };
 
@@ -47,10 +46,7 @@
     /** Records that a request with these parts was lost together with its upstream before it was answered. */
     void onLost(const std::string& upstream, const std::vector<std::string>& parts);
 
-    /**
-     * Records that a request was lost together with others at several upstreams. It counts as soon as an upstream is reached over the same
-     * path later, since the path is sound then; otherwise the path was lost.
-     */
+    /** Records a loss that counts only if the upstream was lost rather than the path to it. */
     void onLostWithOthers(const std::string& upstream, const std::vector<std::string>& parts);
 
     /** Processes a peer's message. @return false if it is not about prompts. */
@@ -75,13 +71,6 @@
     void tick();
 
 private:
-    struct UndecidedLoss {
-        TimePoint time;
-        std::string upstream;
-        std::vector<std::string> parts;
-    };
-
-    void decideLosses(TimePoint now);
     bool mayReportLoss(TimePoint now);
     using Generations = std::map<std::vector<std::string>, int>; /**< Of quarantines, by their parts. */
 
@@ -93,7 +82,7 @@
     DecisionLog& m_log;
     Callbacks m_callbacks;
     PromptQuarantine m_quarantine;
-    std::deque<UndecidedLoss> m_undecided; /**< In ascending order of time. */
+    UndecidedLosses m_undecided;
     Generations m_recorded; /**< As in the durable record. */
     Generations m_noted; /**< As logged last. */
     TimePoint m_lossSecond {}; /**< Start of the second in which the reported losses are counted. */
--- a/libs/gateway/include/gateway/UpstreamPaths.h
+++ b/libs/gateway/include/gateway/UpstreamPaths.h
@@ -36,8 +36,8 @@
     /** Records that an upstream has responded over this node's own path. */
     void onResponse() { m_monitor.onResponse(monotonicNow()); }
 
-    /** @return true if bytes of an upstream have arrived, or a connection was opened, over this node's own path since then. */
-    bool hasReachedSince(TimePoint since) const { return m_monitor.hasReachedSince(since); }
+    /** @return when a connection was last opened, or bytes of an upstream last arrived, over this node's own path. */
+    TimePoint lastReached() const { return m_monitor.lastReached(); }
 
     /** @return true if failures at an upstream are failures of this node's own path to it. */
     bool isLost(const std::string& upstream) const { return m_monitor.isLost(upstream, monotonicNow()); }
--- a/libs/gateway/src/Dispatch.cpp
+++ b/libs/gateway/src/Dispatch.cpp
@@ -1,12 +1,15 @@
 #include "Dispatch.h"
 
 #include <cmath>
+#include <gateway/PromptGuard.h>
+#include <gateway/UpstreamPaths.h>
 
 namespace bronzeswitch {
 
 namespace {
 
 constexpr double microsecondsPerSecond = 1e6;
+constexpr int64_t eventsOfAnswer = 2; // An upstream that crashes with its first event may have sent it.
 
 DispatchOutcome toDispatchOutcome(const Dispatch& dispatch, Dispatch::Outcome outcome)
 {
@@ -62,6 +65,31 @@
     return observation;
 }
 
+bool Dispatch::hasAnsweredPrompt() const { return eventCount >= eventsOfAnswer; }
+
+void recordBreak(Dispatch& dispatch, bool isBroken, UpstreamPaths& paths)
+{
+    const bool isDirect = dispatch.passedOnBy.empty();
+    if (!isDirect)
+        dispatch.isPathLost = isBroken; // By the upstream or by the node between.
+    else
+        dispatch.isPathLost = isBroken ? paths.onBroken(dispatch.upstream.id) : paths.isLost(dispatch.upstream.id);
+    dispatch.isLost = isBroken && !dispatch.isPathLost;
+    dispatch.isLostWithOthers = isBroken && dispatch.isPathLost && isDirect;
+}
+
+void reportPromptResult(PromptGuard& prompts, const Dispatch& dispatch, Dispatch::Outcome outcome, const std::vector<std::string>& parts)
+{
+    if (outcome == Dispatch::Outcome::Completed)
+        prompts.onAnswered(parts);
+    else if (dispatch.hasAnsweredPrompt())
+        return;
+    else if (dispatch.isLost)
+        prompts.onLost(dispatch.upstream.id, parts);
+    else if (dispatch.isLostWithOthers)
+        prompts.onLostWithOthers(dispatch.upstream.id, parts);
+}
+
 bool isResponseBroken(const Dispatch& dispatch)
 {
     const bool mayHaveBeenIdle = dispatch.isConnectionUsed && !hasFirstByte(dispatch);
--- a/libs/gateway/src/Dispatch.h
+++ b/libs/gateway/src/Dispatch.h
@@ -10,6 +10,9 @@
 
 namespace bronzeswitch {
 
+class PromptGuard;
+class UpstreamPaths;
+
 /**
  * One dispatch of a request to an upstream: what has happened so far, and what its end shows.
  *
@@ -47,6 +50,9 @@
     bool isLost = false; /**< The upstream broke the connection off. */
     bool isLostWithOthers = false; /**< Connections to several upstreams broke off together: all of these are lost, or only the path is. */
     std::string failure; /**< Why there is no usable response, for the decision log. */
+
+    /** @return true if a stream has enough events to show that the upstream answers its prompt. */
+    bool hasAnsweredPrompt() const;
 };
 
 /** @return the release of the dispatch's slot with what was measured. @param tokensPerEvent of the service's streams. */
@@ -66,6 +72,15 @@
  */
 bool isResponseBroken(const Dispatch&);
 
+/**
+ * Records that a dispatch has failed without a usable response.
+ * @param isBroken its connection broke off.
+ */
+void recordBreak(Dispatch&, bool isBroken, UpstreamPaths&);
+
+/** Reports what the end of a dispatch shows about the parts of its prompt. */
+void reportPromptResult(PromptGuard&, const Dispatch&, Dispatch::Outcome, const std::vector<std::string>& parts);
+
 /** Adds a dispatch to the fields of an event of the decision log. @param arrivedAt arrival of the request. */
 void describe(nlohmann::json& fields, const Dispatch&, TimePoint arrivedAt);
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -158,7 +158,7 @@
             [this](const std::string& address) { return m_peers.isSilent(address, monotonicNow()); } });
     m_prompts.connect({ [this](const Message& message) { broadcast(message); },
         [this](const std::string& address, const Message& message) { send(address, message); }, [this] { onQuarantineChange(); },
-        [this](TimePoint since) { return m_paths.hasReachedSince(since); }, [this] { return m_isDelegate; } });
+        [this] { return m_paths.lastReached(); }, [this] { return m_isDelegate; } });
     connectNotices();
     connectColdUpstreams();
     m_discovery.connect({ peerAddress(), m_options.dataCentre }, [this] { return isStoreWriter("nodes"); });
--- a/libs/gateway/src/PromptGuard.cpp
+++ b/libs/gateway/src/PromptGuard.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr Duration burstEnd { 300 }; // Bytes that arrive later than this after a loss have not come before the rest of the burst.
-constexpr Duration decisionTime { 1500 }; // A path on which nothing arrives for so long was lost.
-constexpr std::size_t maxUndecided = 256;
 constexpr int maxLossReportsPerSecond = 20; // A data centre may lose all of its engines at once; a few losses suffice.
 
 nlohmann::json describe(const std::vector<QuarantineEntry>& entries)
@@ -67,21 +64,8 @@
 
 void PromptGuard::onLostWithOthers(const std::string& upstream, const std::vector<std::string>& parts)
 {
-    if (!parts.empty() && m_undecided.size() < maxUndecided)
-        m_undecided.push_back({ monotonicNow(), upstream, parts });
-}
-
-void PromptGuard::decideLosses(TimePoint now)
-{
-    while (!m_undecided.empty()) {
-        const auto& oldest = m_undecided.front();
-        const bool isPathSound = m_callbacks.hasReachedSince(oldest.time + burstEnd);
-        if (!isPathSound && now - oldest.time < decisionTime)
-            return;
-        if (isPathSound)
-            onLost(oldest.upstream, oldest.parts);
-        m_undecided.pop_front();
-    }
+    if (!parts.empty())
+        m_undecided.add({ monotonicNow(), upstream, parts });
 }
 
 bool PromptGuard::mayReportLoss(TimePoint now)
@@ -138,7 +122,8 @@
 
 void PromptGuard::tick()
 {
-    decideLosses(monotonicNow());
+    for (const auto& loss : m_undecided.takeUpstreamLosses(m_callbacks.lastReached(), monotonicNow()))
+        onLost(loss.upstream, loss.parts);
     // A query by another node would not reach the nodes that it doesn't know, and one of them may have seen an answer.
     const auto questions = m_callbacks.isDelegate() ? m_quarantine.tick(monotonicNow()) : std::vector<std::string> {};
     if (!questions.empty())
--- a/libs/gateway/src/RequestTask.cpp
+++ b/libs/gateway/src/RequestTask.cpp
@@ -27,7 +27,6 @@
 constexpr int quotaWaitDivisor = 2; // A request waits for tokens for half of its target latency, so that it can still be in time.
 constexpr Duration maxQuotaWaitAfterTakeover { 1500 };
 constexpr Duration routingRetryAfter { 500 };
-constexpr int64_t eventsOfAnswer = 2; // An upstream that crashes with its first event may have sent it.
 constexpr int plainStartTimeoutFactor = 2; // Of the target latency; a plain request that waits longer for a slot is refused.
 
 } // namespace
@@ -238,7 +237,7 @@
         const auto outcome = co_await dispatch(current);
         current.isEvacuated = m_context.evacuations.isEvacuated(current.upstream.dataCentre);
         releaseSlot(current, outcome);
-        reportPromptResult(current, outcome);
+        reportPromptResult(m_context.prompts, current, outcome, m_resolved.metadata.sharedParts);
         logDispatch(current, outcome);
         if (outcome == Outcome::Completed)
             co_return m_callerResponse.isKeepAlive();
@@ -385,13 +384,7 @@
 RequestTask::Outcome RequestTask::recordFailure(Dispatch& current, const Error& error)
 {
     current.failure = error.message;
-    const bool isBroken = error.code == ErrorCode::Unavailable;
-    if (!current.passedOnBy.empty())
-        current.isPathLost = isBroken; // By the upstream or by the node between.
-    else
-        current.isPathLost = isBroken ? m_context.paths->onBroken(current.upstream.id) : m_context.paths->isLost(current.upstream.id);
-    current.isLost = isBroken && !current.isPathLost;
-    current.isLostWithOthers = isBroken && current.isPathLost && current.passedOnBy.empty();
+    recordBreak(current, error.code == ErrorCode::Unavailable, *m_context.paths);
     current.isEndedByNode = m_isAbandoned || error.code == ErrorCode::Exhausted;
     return m_hasCallerDisconnected ? Outcome::CallerDisconnected : Outcome::MayHaveRun;
 }
@@ -537,29 +530,12 @@
 {
     if (!current.eventCount && events > 0)
         current.firstByteAt = monotonicNow();
-    const auto before = current.eventCount;
+    const bool hadAnswered = current.hasAnsweredPrompt();
     current.eventCount += events;
-    onFirstEvents(current, before);
-}
-
-void RequestTask::onFirstEvents(const Dispatch& current, int64_t eventCountBefore)
-{
-    if (eventCountBefore < eventsOfAnswer && current.eventCount >= eventsOfAnswer)
+    if (!hadAnswered && current.hasAnsweredPrompt())
         m_context.prompts.onAnswered(m_resolved.metadata.sharedParts);
 }
 
-void RequestTask::reportPromptResult(const Dispatch& current, Outcome outcome)
-{
-    if (outcome == Outcome::Completed)
-        m_context.prompts.onAnswered(m_resolved.metadata.sharedParts);
-    else if (current.eventCount >= eventsOfAnswer)
-        return;
-    else if (current.isLost)
-        m_context.prompts.onLost(current.upstream.id, m_resolved.metadata.sharedParts);
-    else if (current.isLostWithOthers)
-        m_context.prompts.onLostWithOthers(current.upstream.id, m_resolved.metadata.sharedParts);
-}
-
 void RequestTask::releaseSlot(Dispatch& current, Outcome outcome)
 {
     if (std::exchange(current.isReleased, true))
--- a/libs/gateway/src/RequestTask.h
+++ b/libs/gateway/src/RequestTask.h
@@ -107,18 +107,12 @@
 
     Outcome recordFailure(Dispatch&, const Error&);
 
-    /** Records that the upstream has answered, once a stream has enough events to show it. */
-    void onFirstEvents(const Dispatch&, int64_t eventCountBefore);
-
     /** Returns the slot and reports what the dispatch shows about the upstream and its version, once for each dispatch. */
     void releaseSlot(Dispatch&, Outcome);
 
     /** Returns the slot and sends the response, so that a caller that doesn't read it holds no slot meanwhile. */
     Task<Outcome> complete(Dispatch&, BufferedResponse&);
 
-    /** Records what a dispatch shows about the parts of the prompt. */
-    void reportPromptResult(const Dispatch&, Outcome);
-
     /** Decides on a retry and takes it out of the service's retry budget. */
     bool mayRetry(Outcome, const Dispatch&);
 
--- a/libs/gateway/tests/PromptGuardTests.cpp
+++ b/libs/gateway/tests/PromptGuardTests.cpp
@@ -13,8 +13,8 @@
 struct PromptGuardFixture {
     PromptGuardFixture()
     {
-        guard.connect({ [](const Message&) {}, [](const std::string&, const Message&) {}, [] {},
-            [this](TimePoint since) { return reachedAt > since; }, [] { return true; } });
+        guard.connect(
+            { [](const Message&) {}, [](const std::string&, const Message&) {}, [] {}, [this] { return reachedAt; }, [] { return true; } });
     }
 
     void runFor(Duration time)
@@ -48,10 +48,8 @@
     PromptGuardFixture fixture;
     for (const char* upstream : { "e1", "e2", "e3", "e4" })
         fixture.guard.onLostWithOthers(upstream, { "part" });
-    fixture.reachedAt = monotonicNow(); // By bytes that were on the way when the first connection broke off.
-    fixture.runFor(Duration(200));
-    CHECK(fixture.guard.entries().empty());
-    fixture.reachedAt = monotonicNow() + Duration(200);
-    fixture.runFor(Duration(500));
-    CHECK(fixture.guard.entries().size() == 1);
+    fixture.reachedAt = monotonicNow() + std::chrono::hours(1);
+    while (fixture.guard.entries().empty())
+        fixture.runFor(Duration(10));
+    CHECK(fixture.guard.entries().front().parts == std::vector<std::string> { "part" });
 }
